--- a/daemons/router/refusals.cpp
+++ b/daemons/common/refusals.cpp
@@ -1,8 +1,9 @@
 #include "refusals.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace camphorwind::router {
+namespace camphorwind::daemons {
 
 namespace {
 
@@ -86,6 +87,15 @@
   }
 }
 
+/// Whole seconds stay whole; other spans are written with a fraction.
+std::string secondsText(std::chrono::milliseconds Span) {
+  constexpr auto PerSecond = 1000;
+  if (Span.count() % PerSecond == 0)
+    return fmt::format("{}", Span.count() / PerSecond);
+  return fmt::format("{}.{:03}", Span.count() / PerSecond,
+                     Span.count() % PerSecond);
+}
+
 const char *typeOf(unsigned Status) {
   constexpr unsigned FirstServerError = 500;
   if (Status == 401)
@@ -120,12 +130,11 @@
   net::HttpAnswer Answer =
       net::jsonAnswer(httpStatusOf(Error.Reason_), errorBody(Error));
   if (Error.RetryAfter_)
-    Answer.Headers_.add("Retry-After",
-                        std::to_string(Error.RetryAfter_->count()));
+    Answer.Headers_.add("Retry-After", secondsText(*Error.RetryAfter_));
   // The OpenAI client libraries repeat many failed calls unless told not to.
   if (Error.NonIdempotent_ && Error.Ran_ != base::Ran::No)
     Answer.Headers_.add("x-should-retry", "false");
   return Answer;
 }
 
-} // namespace camphorwind::router
+} // namespace camphorwind::daemons
--- a/daemons/router/refusals.h
+++ b/daemons/common/refusals.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORWIND_DAEMONS_ROUTER_REFUSALS_H
-#define CAMPHORWIND_DAEMONS_ROUTER_REFUSALS_H
+#ifndef CAMPHORWIND_DAEMONS_COMMON_REFUSALS_H
+#define CAMPHORWIND_DAEMONS_COMMON_REFUSALS_H
 
 #include "camphorwind/base/reasons.h"
 #include "camphorwind/net/http.h"
@@ -9,14 +9,14 @@
 #include <string>
 
 /// How callers are told that they get no whole answer.
-namespace camphorwind::router {
+namespace camphorwind::daemons {
 
 /// A request that ends without a whole answer.
 struct CallerError {
   base::RefusalReason Reason_ = base::RefusalReason::Internal;
   base::Ran Ran_ = base::Ran::No;
   /// When the caller may come back, if that helps.
-  std::optional<std::chrono::seconds> RetryAfter_;
+  std::optional<std::chrono::milliseconds> RetryAfter_;
   /// What is wrong with the request, for reasons that the caller can mend.
   std::string Detail_;
   /// The call may not be repeated unless it is known not to have run.
@@ -32,6 +32,6 @@
 /// Returns the answer that tells the caller.
 net::HttpAnswer errorAnswer(const CallerError &Error);
 
-} // namespace camphorwind::router
+} // namespace camphorwind::daemons
 
-#endif // CAMPHORWIND_DAEMONS_ROUTER_REFUSALS_H
+#endif // CAMPHORWIND_DAEMONS_COMMON_REFUSALS_H
--- /dev/null
+++ b/daemons/direct/forwarding.h
@@ -0,0 +1,60 @@
+#ifndef CAMPHORWIND_DAEMONS_DIRECT_FORWARDING_H
+#define CAMPHORWIND_DAEMONS_DIRECT_FORWARDING_H
+
+#include "settings.h"
+
+#include "camphorwind/base/random.h"
+#include "camphorwind/budget/escrow.h"
+#include "camphorwind/direct/endpoint-list.h"
+#include "camphorwind/direct/view.h"
+#include "camphorwind/net/loop.h"
+#include "camphorwind/net/origin-client.h"
+#include "camphorwind/observe/metrics.h"
+#include "camphorwind/routing/direct-pool.h"
+#include "camphorwind/routing/retry-window.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+namespace camphorwind::direct {
+
+class ForwardedRequest;
+
+/// A pool with what bounds its use.
+struct PoolState {
+  routing::DirectPool Choice_;
+  routing::RetryWindow Retries_;
+};
+
+/// What all requests of one router share.
+struct Forwarding {
+  Forwarding(net::Loop &LoopToUse, DirectSettings Chosen, budget::Escrow Held)
+      : Owner_(LoopToUse), Settings_(std::move(Chosen)),
+        Origins_(LoopToUse, {}), Escrow_(std::move(Held)) {}
+
+  /// Returns the pool, made if it is new.
+  PoolState &pool(const base::PoolId &Id);
+
+  net::Loop &Owner_;
+  DirectSettings Settings_;
+  ViewHolder View_;
+  EndpointList Endpoints_;
+  std::unordered_map<base::PoolId, PoolState> Pools_;
+  net::OriginClient Origins_;
+  budget::Escrow Escrow_;
+  observe::Metrics Metrics_;
+  base::Random Bits_ = base::systemRandom();
+  /// Requests without a final answer.
+  std::unordered_set<std::shared_ptr<ForwardedRequest>> Live_;
+  /// Since when the source of the configuration has been silent.
+  std::optional<base::TimePoint> SourceLostAt_;
+  bool Stopping_ = false;
+};
+
+} // namespace camphorwind::direct
+
+#endif // CAMPHORWIND_DAEMONS_DIRECT_FORWARDING_H
--- /dev/null
+++ b/daemons/direct/settings.h
@@ -0,0 +1,34 @@
+#ifndef CAMPHORWIND_DAEMONS_DIRECT_SETTINGS_H
+#define CAMPHORWIND_DAEMONS_DIRECT_SETTINGS_H
+
+#include "camphorwind/base/address.h"
+#include "camphorwind/base/ids.h"
+#include "camphorwind/direct/headers.h"
+#include "camphorwind/routing/retry-window.h"
+
+#include <chrono>
+#include <optional>
+
+namespace camphorwind::direct {
+
+/// Settings of a router that calls endpoints itself.
+struct DirectSettings {
+  base::RouterId Router_;
+  base::FailureDomainId Domain_;
+  /// Where callers connect.
+  base::Address Listen_;
+  /// Where the balancer asks `GET /ready`, and metrics are served.
+  base::Address Readiness_;
+  std::optional<base::Address> Metrics_;
+  HeaderNames Headers_;
+  routing::RetryWindowOptions Retries_;
+  /// After SIGTERM connections are accepted for this long, until the balancer
+  /// has noticed: two missed questions, a second apart.
+  std::chrono::milliseconds ReadinessNotice_{3500};
+  /// Time from SIGTERM to the end of the process.
+  std::chrono::milliseconds Shutdown_{7200};
+};
+
+} // namespace camphorwind::direct
+
+#endif // CAMPHORWIND_DAEMONS_DIRECT_SETTINGS_H
--- a/daemons/router/api.cpp
+++ b/daemons/router/api.cpp
@@ -14,6 +14,10 @@
 
 namespace camphorwind::router {
 
+using daemons::errorAnswer;
+using daemons::errorBody;
+using daemons::httpStatusOf;
+
 namespace {
 
 using base::RefusalReason;
--- a/daemons/router/api.h
+++ b/daemons/router/api.h
@@ -1,8 +1,8 @@
 #ifndef CAMPHORWIND_DAEMONS_ROUTER_API_H
 #define CAMPHORWIND_DAEMONS_ROUTER_API_H
 
+#include "../common/refusals.h"
 #include "completion-request.h"
-#include "refusals.h"
 #include "router.h"
 
 #include "camphorwind/net/http-server.h"
--- a/daemons/router/router.h
+++ b/daemons/router/router.h
@@ -1,12 +1,12 @@
 #ifndef CAMPHORWIND_DAEMONS_ROUTER_ROUTER_H
 #define CAMPHORWIND_DAEMONS_ROUTER_ROUTER_H
 
+#include "../common/refusals.h"
 #include "agent-links.h"
 #include "claim-views.h"
 #include "fleet-config.h"
 #include "money.h"
 #include "reclaims.h"
-#include "refusals.h"
 #include "settings.h"
 
 #include "camphorwind/net/http-client.h"
@@ -24,6 +24,8 @@
 
 namespace camphorwind::router {
 
+using daemons::CallerError;
+
 /// A caller's request with everything that its attempts need.
 struct RoutedRequest {
   request::Submission Submission_;
--- a/libs/base/include/camphorwind/base/table.h
+++ b/libs/base/include/camphorwind/base/table.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORWIND_BASE_TABLE_H
 #define CAMPHORWIND_BASE_TABLE_H
 
+#include <chrono>
 #include <concepts>
 #include <cstdint>
 #include <functional>
@@ -59,6 +60,8 @@
   RowVersion Version_ = 0;
   /// With Conflict: the rows whose condition failed, as they are now.
   std::vector<Row> Current_;
+  /// The table's own steady clock as it answered, if it states one.
+  std::optional<std::chrono::milliseconds> TableTime_;
 };
 
 /// How a read ended.
@@ -68,6 +71,8 @@
 struct ReadResult {
   ReadStatus Status_ = ReadStatus::Unavailable;
   std::vector<Row> Rows_;
+  /// The table's own steady clock as it answered, if it states one.
+  std::optional<std::chrono::milliseconds> TableTime_;
 };
 
 /// Asynchronous access to the table. Callbacks run on the caller's loop, later
--- /dev/null
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -0,0 +1,122 @@
+#ifndef CAMPHORWIND_BUDGET_ESCROW_H
+#define CAMPHORWIND_BUDGET_ESCROW_H
+
+#include "camphorwind/base/ids.h"
+#include "camphorwind/base/result.h"
+#include "camphorwind/base/table.h"
+#include "camphorwind/base/time.h"
+#include "camphorwind/base/tokens.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Prepaid budgets of routers that meter their own requests.
+///
+/// A router draws slices of each account's budget from the table and spends
+/// from them without asking. About once a second it writes down what it has
+/// spent (a checkpoint) together with a ceiling on what it may spend until the
+/// next one: a burst, and a rate that its own steady clock enforces. When its
+/// process is gone, its successor on the same host gets back what the ceiling
+/// rules out to have been spent.
+namespace camphorwind::budget {
+
+struct EscrowSettings {
+  /// Name of the host's router; processes that follow each other share it.
+  base::RouterId Router_;
+  base::Incarnation Incarnation_;
+  /// Time between two checkpoints while anything is spent.
+  base::Duration CheckpointInterval_ = std::chrono::milliseconds(1000);
+  /// Shortest time between two transactions.
+  base::Duration MinInterval_ = std::chrono::milliseconds(100);
+  /// Table outage that a slice has to last for.
+  base::Duration Outage_ = std::chrono::milliseconds(9000);
+  /// Pause after the table failed.
+  base::Duration Pause_ = std::chrono::milliseconds(300);
+};
+
+enum class EscrowError { EmptyRouter, EmptyIncarnation, BadInterval };
+
+/// Why tokens could not be set aside.
+enum class EscrowRefusal {
+  Spent,       ///< What all routers hold and the rest do not cover the bound.
+  NotHere,     ///< Others may hold enough; worth another try soon.
+  NotLoaded,   ///< The table has not been read yet.
+  Unreachable, ///< The slice is used up and the table can't be reached.
+};
+
+/// Returns the name used in logs and metrics, such as "spent".
+std::string_view toString(EscrowRefusal Refusal);
+
+/// One account's figures for logs and tests, in tokens.
+struct EscrowStatus {
+  base::Tokens Prepaid_;
+  /// Granted to all routers, as last seen.
+  base::Tokens GrantedToAll_;
+  /// Granted to this router.
+  base::Tokens Granted_;
+  /// Spent by this router, and set aside for requests in progress.
+  base::Tokens Used_;
+  base::Tokens Held_;
+  /// What reserve() could set aside at once.
+  base::Tokens Available_;
+};
+
+/// The slices of one router process. No call does I/O.
+class Escrow {
+public:
+  /// Prefixes of the rows that escrows keep.
+  static constexpr std::string_view SlicePrefix = "slice/";
+  static constexpr std::string_view TotalPrefix = "total/";
+  static constexpr std::string_view RouterPrefix = "router/";
+
+  static base::Result<Escrow, EscrowError> create(EscrowSettings Settings);
+  Escrow(Escrow &&) noexcept;
+  Escrow &operator=(Escrow &&) noexcept;
+  ~Escrow();
+
+  /// Makes an account's budget known, or changes it.
+  void setBudget(const base::AccountId &Account, base::Tokens Prepaid);
+
+  /// Sets tokens aside for one request; every reservation ends with settle().
+  base::Result<void, EscrowRefusal> reserve(const base::AccountId &Account,
+                                            base::Tokens Bound,
+                                            base::TimePoint Now);
+  /// Ends a reservation of \p Bound, of which \p Spent was used.
+  void settle(const base::AccountId &Account, base::Tokens Bound,
+              base::Tokens Spent, base::TimePoint Now);
+
+  /// Whether all rows should be read now; answer with onRows().
+  bool wantsRows(base::TimePoint Now) const;
+  /// Takes every row of the table; \p Now is when the answer arrived.
+  void onRows(const base::ReadResult &Read, base::TimePoint Now);
+  /// Returns the transaction to run now, if any; answer with onTransaction().
+  std::optional<base::Transaction> nextTransaction(base::TimePoint Now);
+  void onTransaction(const base::TransactionResult &Result,
+                     base::TimePoint Now);
+
+  /// Draws no more; returns everything once nothing is set aside.
+  void close();
+  /// Everything was returned, or there was nothing to return.
+  bool closed() const;
+
+  bool loaded() const;
+  /// Routers that wrote lately, this one included; at least 1.
+  std::size_t routers() const;
+  EscrowStatus status(const base::AccountId &Account,
+                      base::TimePoint Now) const;
+
+private:
+  struct Impl;
+  explicit Escrow(std::unique_ptr<Impl> State);
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace camphorwind::budget
+
+#endif // CAMPHORWIND_BUDGET_ESCROW_H
--- /dev/null
+++ b/libs/budget/src/escrow-rows.cpp
@@ -0,0 +1,115 @@
+#include "escrow-rows.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace camphorwind::budget::detail {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::optional<std::int64_t> number(const Json &From, const char *Name) {
+  auto Found = From.find(Name);
+  if (Found == From.end() || !Found->is_number_integer())
+    return std::nullopt;
+  return Found->get<std::int64_t>();
+}
+
+std::optional<Json> parse(std::string_view Text) {
+  Json Parsed = Json::parse(Text, nullptr, false);
+  if (!Parsed.is_object())
+    return std::nullopt;
+  return Parsed;
+}
+
+} // namespace
+
+std::int64_t Checkpoint::ceiling(std::chrono::milliseconds TableTime) const {
+  std::int64_t Elapsed = std::max<std::int64_t>(0, (TableTime - At_).count());
+  constexpr std::int64_t PerSecond = 1000;
+  return Used_ + Burst_ + RatePerSecond_ * Elapsed / PerSecond;
+}
+
+std::int64_t SliceRow::unspent(std::chrono::milliseconds TableTime) const {
+  return std::max<std::int64_t>(0, Granted_ - Checkpoint_.ceiling(TableTime));
+}
+
+std::string sliceKey(const base::AccountId &Account,
+                     const base::RouterId &Router) {
+  return std::string(Escrow::SlicePrefix) + Account.str() + "/" + Router.str();
+}
+
+std::string totalKey(const base::AccountId &Account) {
+  return std::string(Escrow::TotalPrefix) + Account.str();
+}
+
+std::string routerKey(const base::RouterId &Router) {
+  return std::string(Escrow::RouterPrefix) + Router.str();
+}
+
+std::optional<SliceName> sliceNameFromKey(std::string_view Key) {
+  if (!Key.starts_with(Escrow::SlicePrefix))
+    return std::nullopt;
+  Key.remove_prefix(Escrow::SlicePrefix.size());
+  std::size_t Slash = Key.rfind('/');
+  if (Slash == std::string_view::npos)
+    return std::nullopt;
+  return SliceName{base::AccountId(std::string(Key.substr(0, Slash))),
+                   base::RouterId(std::string(Key.substr(Slash + 1)))};
+}
+
+std::string encodeSlice(const SliceRow &Value) {
+  return Json{{"incarnation", Value.Incarnation_},
+              {"granted", Value.Granted_},
+              {"used", Value.Checkpoint_.Used_},
+              {"burst", Value.Checkpoint_.Burst_},
+              {"rate", Value.Checkpoint_.RatePerSecond_},
+              {"at", Value.Checkpoint_.At_.count()},
+              {"demand", Value.TokensPerSecond_}}
+      .dump();
+}
+
+std::optional<SliceRow> decodeSlice(std::string_view Text) {
+  auto Parsed = parse(Text);
+  if (!Parsed)
+    return std::nullopt;
+  auto Granted = number(*Parsed, "granted");
+  auto Used = number(*Parsed, "used");
+  auto Burst = number(*Parsed, "burst");
+  auto Rate = number(*Parsed, "rate");
+  auto At = number(*Parsed, "at");
+  auto Incarnation = Parsed->find("incarnation");
+  if (!Granted || !Used || !Burst || !Rate || !At ||
+      Incarnation == Parsed->end() || !Incarnation->is_string())
+    return std::nullopt;
+  return SliceRow{
+      Incarnation->get<std::string>(),
+      *Granted,
+      {*Used, *Burst, *Rate, std::chrono::milliseconds(*At)},
+      number(*Parsed, "demand").value_or(0)};
+}
+
+std::string encodeTotal(std::int64_t Granted) {
+  return Json{{"granted", Granted}}.dump();
+}
+
+std::optional<std::int64_t> decodeTotal(std::string_view Text) {
+  auto Parsed = parse(Text);
+  return Parsed ? number(*Parsed, "granted") : std::nullopt;
+}
+
+std::string encodePresence(std::chrono::milliseconds At) {
+  return Json{{"at", At.count()}}.dump();
+}
+
+std::optional<std::chrono::milliseconds> decodePresence(std::string_view Text) {
+  auto Parsed = parse(Text);
+  auto At = Parsed ? number(*Parsed, "at") : std::nullopt;
+  if (!At)
+    return std::nullopt;
+  return std::chrono::milliseconds(*At);
+}
+
+} // namespace camphorwind::budget::detail
--- /dev/null
+++ b/libs/budget/src/escrow.cpp
@@ -0,0 +1,565 @@
+#include "camphorwind/budget/escrow.h"
+
+#include "escrow-rows.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace camphorwind::budget {
+
+namespace {
+
+using detail::Checkpoint;
+using detail::SliceRow;
+using std::chrono::milliseconds;
+
+/// Accounts in one transaction; each takes up to four of its 100 entries.
+constexpr std::size_t MaxAccountsPerTransaction = 20;
+/// Part of all that is unspent which the routers hold together; the rest covers
+/// requests that are larger than a slice.
+constexpr double HeldShare = 0.95;
+/// A router draws when it holds less than this part of its share, and returns
+/// tokens when it holds more than the other.
+constexpr double RefillShare = 0.8;
+constexpr double ReturnShare = 1.4;
+/// What it keeps then.
+constexpr double KeepShare = 1.1;
+/// Smaller corrections, as a part of the budget, are not worth a transaction.
+constexpr double LeastCorrection = 0.01;
+/// Demand that a router without requests is credited with: the budget over
+/// this time.
+constexpr double IdleDemandSeconds = 2000;
+/// Part of what is available that may be spent at once after a checkpoint; the
+/// rest is released over the length of a table outage.
+constexpr std::int64_t BurstDivisor = 3;
+/// A router that was not heard of for this long is not counted.
+constexpr milliseconds PresenceTimeout{6000};
+/// Time between two reads of all rows, in general and while an account is
+/// nearly spent.
+constexpr milliseconds RowsInterval{1500};
+constexpr milliseconds ScarceRowsInterval{500};
+/// Rows older than this prove nothing about what others hold.
+constexpr milliseconds EvidenceAge{1500};
+/// Smoothing time of the rate of spending.
+constexpr std::chrono::duration<double> DemandAverage{3.0};
+
+struct AccountState {
+  std::int64_t Prepaid_ = 0;
+  bool Known_ = false;
+
+  base::RowVersion TotalVersion_ = 0;
+  std::int64_t GrantedToAll_ = 0;
+
+  base::RowVersion SliceVersion_ = 0;
+  std::int64_t Granted_ = 0;
+  /// What processes before this one on the same host may have spent.
+  std::int64_t Inherited_ = 0;
+  std::int64_t Used_ = 0;
+  std::int64_t Held_ = 0;
+  /// In force for sure, and perhaps in force.
+  std::optional<Checkpoint> Confirmed_;
+  std::optional<Checkpoint> Pending_;
+  /// Of the transaction in progress.
+  std::int64_t PendingGrant_ = 0;
+
+  /// Largest bound asked for in vain since the last grant.
+  std::int64_t Wanted_ = 0;
+  std::int64_t LargestBound_ = 0;
+  /// Unspent tokens in the slices of all other routers, from the last read.
+  std::int64_t HeldByOthers_ = 0;
+  /// Tokens that all other routers spend a second, from the last read.
+  double DemandOfOthers_ = 0;
+  /// Tokens spent a second, smoothed.
+  double Demand_ = 0;
+  base::TimePoint DemandAt_{};
+  base::TimePoint CheckpointAt_{};
+  base::TimePoint GrantAt_{};
+
+  std::int64_t used() const { return Inherited_ + Used_ + Held_; }
+};
+
+} // namespace
+
+std::string_view toString(EscrowRefusal Refusal) {
+  switch (Refusal) {
+  case EscrowRefusal::Spent:
+    return "spent";
+  case EscrowRefusal::NotHere:
+    return "not_here";
+  case EscrowRefusal::NotLoaded:
+    return "not_loaded";
+  case EscrowRefusal::Unreachable:
+    return "unreachable";
+  }
+  return "unknown";
+}
+
+struct Escrow::Impl {
+  explicit Impl(EscrowSettings Settings) : Settings_(std::move(Settings)) {}
+
+  /// Lower bound of the table's clock at \p Now: the local clock may stand
+  /// still while the machine is suspended, and never runs ahead.
+  milliseconds tableTime(base::TimePoint Now) const {
+    return TableTime_ +
+           std::chrono::duration_cast<milliseconds>(Now - TableTimeAt_);
+  }
+
+  void noteTableTime(std::optional<milliseconds> Stated, base::TimePoint Now) {
+    if (!Stated)
+      return;
+    if (HasTableTime_ && *Stated <= tableTime(Now))
+      return;
+    HasTableTime_ = true;
+    TableTime_ = *Stated;
+    TableTimeAt_ = Now;
+  }
+
+  std::int64_t ceiling(const AccountState &Of, base::TimePoint Now) const {
+    if (!Of.Confirmed_)
+      return 0;
+    milliseconds Time = tableTime(Now);
+    std::int64_t Most = std::min(Of.Granted_, Of.Confirmed_->ceiling(Time));
+    if (Of.Pending_)
+      Most = std::min(Most, Of.Pending_->ceiling(Time));
+    // A budget that was cut below what is granted binds every slice in part.
+    if (Of.GrantedToAll_ > Of.Prepaid_ && Of.GrantedToAll_ > 0) {
+      double Part = static_cast<double>(Of.Prepaid_) /
+                    static_cast<double>(Of.GrantedToAll_);
+      Most = std::min(Most, static_cast<std::int64_t>(
+                                Part * static_cast<double>(Of.Granted_)));
+    }
+    return Most;
+  }
+
+  std::int64_t available(const AccountState &Of, base::TimePoint Now) const {
+    return std::max<std::int64_t>(0, ceiling(Of, Now) - Of.used());
+  }
+
+  static std::int64_t undrawn(const AccountState &Of) {
+    return Of.Prepaid_ - Of.GrantedToAll_;
+  }
+
+  /// This router's part, by demand, of all that is unspent.
+  double share(const AccountState &Of, base::TimePoint Now) const {
+    double Idle = static_cast<double>(Of.Prepaid_) / IdleDemandSeconds;
+    double Own = demand(Of, Now) + Idle;
+    double All = Own + Of.DemandOfOthers_ +
+                 Idle * static_cast<double>(Routers_ - 1);
+    std::int64_t Unspent = std::max<std::int64_t>(0, undrawn(Of)) +
+                           Of.HeldByOthers_ + Of.Granted_ - Of.used();
+    return HeldShare * static_cast<double>(Unspent) * Own / All;
+  }
+
+  /// Tokens to draw (above zero) or to return (below zero) now.
+  std::int64_t grantFor(const AccountState &Of, base::TimePoint Now) const {
+    std::int64_t Rest = Of.Granted_ - Of.used();
+    if (Closing_)
+      return -Rest;
+    std::int64_t Left = undrawn(Of);
+    if (Left < 0)
+      return -std::min(Rest, surplusAfterCut(Of));
+    if (Of.Wanted_ > Rest)
+      return std::min(
+          Left, std::max(Of.Wanted_ - Rest,
+                         static_cast<std::int64_t>(share(Of, Now)) - Rest));
+    if (Now - Of.GrantAt_ < Settings_.CheckpointInterval_ && Of.Confirmed_)
+      return 0;
+    double Share = share(Of, Now);
+    auto Held = static_cast<double>(Rest);
+    double Least = LeastCorrection * static_cast<double>(Of.Prepaid_);
+    if (Held < RefillShare * Share && Share - Held > Least)
+      return std::min(Left, static_cast<std::int64_t>(Share - Held));
+    if (Held > ReturnShare * Share && Held - KeepShare * Share > Least)
+      return -static_cast<std::int64_t>(Held - KeepShare * Share);
+    return 0;
+  }
+
+  /// This router's part of what was granted over a budget that was cut.
+  std::int64_t surplusAfterCut(const AccountState &Of) const {
+    double Part = static_cast<double>(Of.Granted_) /
+                  std::max(1.0, static_cast<double>(Of.GrantedToAll_));
+    return static_cast<std::int64_t>(
+        std::ceil(Part * static_cast<double>(-undrawn(Of))));
+  }
+
+  static double demand(const AccountState &Of, base::TimePoint Now) {
+    std::chrono::duration<double> Age = Now - Of.DemandAt_;
+    return Of.Demand_ * std::exp(-Age / DemandAverage);
+  }
+
+  static void noteDemand(AccountState &Of, std::int64_t Tokens,
+                         base::TimePoint Now) {
+    Of.Demand_ = demand(Of, Now) +
+                 static_cast<double>(Tokens) / DemandAverage.count();
+    Of.DemandAt_ = Now;
+  }
+
+  Checkpoint nextCheckpoint(const AccountState &Of, std::int64_t Granted,
+                            base::TimePoint Now) const {
+    std::int64_t Rest = std::max<std::int64_t>(0, Granted - Of.used());
+    std::int64_t Burst = std::min(
+        Rest, std::max(Rest / BurstDivisor, 2 * Of.LargestBound_));
+    auto Seconds = std::max<std::int64_t>(
+        1, std::chrono::duration_cast<std::chrono::seconds>(Settings_.Outage_)
+               .count());
+    std::int64_t Rate = (Rest - Burst + Seconds - 1) / Seconds;
+    return {Of.used(), Burst, Rate, tableTime(Now)};
+  }
+
+  /// Whether the account's slice should change.
+  bool wantsGrant(const AccountState &Of, base::TimePoint Now) const {
+    return Of.Known_ && grantFor(Of, Now) != 0;
+  }
+
+  bool wantsCheckpoint(const AccountState &Of, base::TimePoint Now) const {
+    if (!Of.Known_ || Closing_)
+      return false;
+    std::int64_t Rest = Of.Granted_ - Of.used();
+    if (!Of.Confirmed_)
+      return Rest > 0;
+    // A request waits that only the ceiling holds up.
+    if (Of.Wanted_ > 0 && Of.Wanted_ <= Rest &&
+        Of.Wanted_ > available(Of, Now))
+      return true;
+    return Of.used() != Of.Confirmed_->Used_ &&
+           Now - Of.CheckpointAt_ >= Settings_.CheckpointInterval_;
+  }
+
+  /// Grants change rows that routers share and may conflict, so they do not
+  /// hold up checkpoints: the two kinds take turns.
+  std::optional<base::Transaction> build(base::TimePoint Now) {
+    for (int Kind = 0; Kind < 2; ++Kind) {
+      GrantsNext_ = !GrantsNext_;
+      if (auto Change = buildOne(GrantsNext_, Now))
+        return Change;
+    }
+    return std::nullopt;
+  }
+
+  std::optional<base::Transaction> buildOne(bool Grants, base::TimePoint Now) {
+    base::Transaction Change;
+    InProgress_.clear();
+    for (auto &[Account, Of] : Accounts_) {
+      if (InProgress_.size() >= MaxAccountsPerTransaction)
+        break;
+      if (Grants ? wantsGrant(Of, Now) : wantsCheckpoint(Of, Now))
+        addAccount(Account, Of, Change, Grants ? grantFor(Of, Now) : 0, Now);
+    }
+    if (InProgress_.empty())
+      return std::nullopt;
+    std::string Presence = detail::routerKey(Settings_.Router_);
+    if (Closing_)
+      Change.Writes_.push_back({std::move(Presence), std::nullopt});
+    else
+      Change.Writes_.push_back(
+          {std::move(Presence), detail::encodePresence(tableTime(Now))});
+    return Change;
+  }
+
+  void addAccount(const base::AccountId &Account, AccountState &Of,
+                  base::Transaction &Change, std::int64_t Grant,
+                  base::TimePoint Now) {
+    std::int64_t Granted = Of.Granted_ + Grant;
+    std::string Key = detail::sliceKey(Account, Settings_.Router_);
+    Of.Pending_ = nextCheckpoint(Of, Granted, Now);
+    Of.PendingGrant_ = Grant;
+    Change.Conditions_.push_back({Key, Of.SliceVersion_});
+    Change.Writes_.push_back(
+        {std::move(Key),
+         detail::encodeSlice(
+             {Settings_.Incarnation_.str(), Granted, *Of.Pending_,
+              static_cast<std::int64_t>(demand(Of, Now))})});
+    if (Grant != 0) {
+      std::string Total = detail::totalKey(Account);
+      Change.Conditions_.push_back({Total, Of.TotalVersion_});
+      Change.Writes_.push_back(
+          {std::move(Total), detail::encodeTotal(Of.GrantedToAll_ + Grant)});
+    }
+    // What is returned must not be spent while the transaction is under way.
+    if (Grant < 0)
+      Of.Granted_ = Granted;
+    InProgress_.push_back(Account);
+  }
+
+  void commit(base::RowVersion Version, base::TimePoint Now) {
+    for (const base::AccountId &Account : InProgress_) {
+      AccountState &Of = Accounts_[Account];
+      Of.SliceVersion_ = Version;
+      if (Of.PendingGrant_ > 0)
+        Of.Granted_ += Of.PendingGrant_;
+      if (Of.PendingGrant_ != 0) {
+        Of.TotalVersion_ = Version;
+        Of.GrantedToAll_ += Of.PendingGrant_;
+        Of.GrantAt_ = Now;
+      }
+      Of.Wanted_ = 0;
+      Of.CheckpointAt_ = Now;
+      Of.Confirmed_ = std::exchange(Of.Pending_, std::nullopt);
+      Of.PendingGrant_ = 0;
+    }
+    InProgress_.clear();
+  }
+
+  /// Nothing of the transaction in progress took effect.
+  void rollBack() {
+    for (const base::AccountId &Account : InProgress_) {
+      AccountState &Of = Accounts_[Account];
+      if (Of.PendingGrant_ < 0)
+        Of.Granted_ -= Of.PendingGrant_;
+      Of.Pending_.reset();
+      Of.PendingGrant_ = 0;
+    }
+    InProgress_.clear();
+  }
+
+  void adopt(const base::Row &Found) {
+    if (Found.Key_.starts_with(TotalPrefix)) {
+      AccountState &Of = Accounts_[base::AccountId(
+          Found.Key_.substr(TotalPrefix.size()))];
+      if (Found.Version_ <= Of.TotalVersion_)
+        return;
+      Of.TotalVersion_ = Found.Version_;
+      // An unreadable total grants nothing more.
+      Of.GrantedToAll_ =
+          detail::decodeTotal(Found.Value_).value_or(Of.Prepaid_);
+      return;
+    }
+    auto Name = detail::sliceNameFromKey(Found.Key_);
+    if (Name && Name->Router_ == Settings_.Router_)
+      adoptSlice(Accounts_[Name->Account_], Found);
+  }
+
+  void adoptSlice(AccountState &Of, const base::Row &Found) {
+    if (Found.Version_ <= Of.SliceVersion_)
+      return;
+    Of.SliceVersion_ = Found.Version_;
+    auto Row = detail::decodeSlice(Found.Value_);
+    if (!Row) {
+      Of.Granted_ = 0;
+      Of.Confirmed_.reset();
+      return;
+    }
+    Of.Granted_ = Row->Granted_;
+    if (Row->Incarnation_ == Settings_.Incarnation_.str()) {
+      Of.Confirmed_ = Row->Checkpoint_;
+      return;
+    }
+    // A process before this one on the same host, which is gone: what its
+    // ceiling allowed counts as spent. Nothing may be spent before a checkpoint
+    // of this incarnation stands.
+    Of.Inherited_ =
+        std::min(Row->Granted_, Row->Checkpoint_.ceiling(TableTime_));
+    Of.Confirmed_.reset();
+  }
+
+  /// Another router's slice, as of its last checkpoint.
+  static void noteOther(AccountState &Of, const SliceRow &Row,
+                        milliseconds Time) {
+    Of.HeldByOthers_ += Row.Granted_ - Row.Checkpoint_.Used_;
+    std::chrono::duration<double> Age = Time - Row.Checkpoint_.At_;
+    Of.DemandOfOthers_ += static_cast<double>(Row.TokensPerSecond_) *
+                          std::exp(-std::max(0.0, Age / DemandAverage));
+  }
+
+  EscrowSettings Settings_;
+  std::map<base::AccountId, AccountState> Accounts_;
+  std::size_t Routers_ = 1;
+  bool Loaded_ = false;
+  bool Closing_ = false;
+  /// The result of the transaction in progress is not known.
+  bool Doubtful_ = false;
+  bool Running_ = false;
+  bool Unreachable_ = false;
+  std::optional<base::Transaction> Last_;
+  std::vector<base::AccountId> InProgress_;
+  base::TimePoint NotBefore_{};
+  bool GrantsNext_ = false;
+  base::TimePoint RowsAt_{};
+  bool RowsSeen_ = false;
+
+  bool HasTableTime_ = false;
+  milliseconds TableTime_{0};
+  base::TimePoint TableTimeAt_{};
+};
+
+base::Result<Escrow, EscrowError> Escrow::create(EscrowSettings Settings) {
+  if (Settings.Router_.empty())
+    return base::failure(EscrowError::EmptyRouter);
+  if (Settings.Incarnation_.empty())
+    return base::failure(EscrowError::EmptyIncarnation);
+  if (Settings.CheckpointInterval_ <= base::Duration::zero() ||
+      Settings.Outage_ <= base::Duration::zero())
+    return base::failure(EscrowError::BadInterval);
+  return Escrow(std::make_unique<Impl>(std::move(Settings)));
+}
+
+Escrow::Escrow(std::unique_ptr<Impl> State) : Impl_(std::move(State)) {}
+Escrow::Escrow(Escrow &&) noexcept = default;
+Escrow &Escrow::operator=(Escrow &&) noexcept = default;
+Escrow::~Escrow() = default;
+
+void Escrow::setBudget(const base::AccountId &Account, base::Tokens Prepaid) {
+  AccountState &Of = Impl_->Accounts_[Account];
+  Of.Known_ = true;
+  Of.Prepaid_ = Prepaid.count();
+}
+
+base::Result<void, EscrowRefusal>
+Escrow::reserve(const base::AccountId &Account, base::Tokens Bound,
+                base::TimePoint Now) {
+  if (!Impl_->Loaded_)
+    return base::failure(EscrowRefusal::NotLoaded);
+  AccountState &Of = Impl_->Accounts_[Account];
+  std::int64_t Wanted = Bound.count();
+  Of.LargestBound_ = std::max(Of.LargestBound_, Wanted);
+  if (Wanted <= Impl_->available(Of, Now)) {
+    Of.Held_ += Wanted;
+    Impl::noteDemand(Of, Wanted, Now);
+    return base::success();
+  }
+  Of.Wanted_ = std::max(Of.Wanted_, Wanted);
+  std::int64_t Rest = std::max<std::int64_t>(0, Of.Granted_ - Of.used());
+  bool Fresh = Impl_->RowsSeen_ && Now - Impl_->RowsAt_ < EvidenceAge;
+  std::int64_t InFleet = Impl::undrawn(Of) + Of.HeldByOthers_ + Rest;
+  if (Fresh && InFleet < Wanted)
+    return base::failure(EscrowRefusal::Spent);
+  if (Impl_->Unreachable_)
+    return base::failure(EscrowRefusal::Unreachable);
+  return base::failure(EscrowRefusal::NotHere);
+}
+
+void Escrow::settle(const base::AccountId &Account, base::Tokens Bound,
+                    base::Tokens Spent, base::TimePoint Now) {
+  AccountState &Of = Impl_->Accounts_[Account];
+  Of.Held_ -= Bound.count();
+  Of.Used_ += Spent.count();
+  Impl::noteDemand(Of, Spent.count() - Bound.count(), Now);
+}
+
+bool Escrow::wantsRows(base::TimePoint Now) const {
+  if (!Impl_->Loaded_ || !Impl_->RowsSeen_)
+    return true;
+  if (Impl_->Closing_)
+    return false;
+  base::Duration Age = Now - Impl_->RowsAt_;
+  if (Age >= RowsInterval)
+    return true;
+  return Age >= ScarceRowsInterval &&
+         std::any_of(Impl_->Accounts_.begin(), Impl_->Accounts_.end(),
+                     [](const auto &Each) { return Each.second.Wanted_ > 0; });
+}
+
+void Escrow::onRows(const base::ReadResult &Read, base::TimePoint Now) {
+  Impl_->Unreachable_ = Read.Status_ != base::ReadStatus::Ok;
+  if (Impl_->Unreachable_)
+    return;
+  Impl_->noteTableTime(Read.TableTime_, Now);
+  milliseconds Time = Impl_->tableTime(Now);
+  for (auto &[Account, Of] : Impl_->Accounts_) {
+    Of.HeldByOthers_ = 0;
+    Of.DemandOfOthers_ = 0;
+    Of.Wanted_ = 0;
+  }
+  std::size_t Routers = 0;
+  bool Listed = false;
+  for (const base::Row &Each : Read.Rows_) {
+    if (Each.Key_.starts_with(RouterPrefix)) {
+      auto At = detail::decodePresence(Each.Value_);
+      if (At && Time - *At < PresenceTimeout)
+        ++Routers;
+      Listed = Listed || Each.Key_ == detail::routerKey(Impl_->Settings_.Router_);
+      continue;
+    }
+    auto Name = detail::sliceNameFromKey(Each.Key_);
+    if (Name && Name->Router_ != Impl_->Settings_.Router_) {
+      if (auto Row = detail::decodeSlice(Each.Value_))
+        Impl_->noteOther(Impl_->Accounts_[Name->Account_], *Row, Time);
+      continue;
+    }
+    // While a transaction is in doubt, only its own result tells what stands.
+    if (!Impl_->Running_ && !Impl_->Doubtful_)
+      Impl_->adopt(Each);
+  }
+  Impl_->Routers_ = std::max<std::size_t>(1, Routers + (Listed ? 0 : 1));
+  Impl_->RowsAt_ = Now;
+  Impl_->RowsSeen_ = true;
+  Impl_->Loaded_ = true;
+}
+
+std::optional<base::Transaction> Escrow::nextTransaction(base::TimePoint Now) {
+  if (!Impl_->Loaded_ || Impl_->Running_ || Now < Impl_->NotBefore_)
+    return std::nullopt;
+  if (!Impl_->Doubtful_)
+    Impl_->Last_ = Impl_->build(Now);
+  if (!Impl_->Last_)
+    return std::nullopt;
+  Impl_->Running_ = true;
+  Impl_->NotBefore_ = Now + Impl_->Settings_.MinInterval_;
+  return Impl_->Last_;
+}
+
+void Escrow::onTransaction(const base::TransactionResult &Result,
+                           base::TimePoint Now) {
+  using base::TransactionStatus;
+  Impl_->Running_ = false;
+  Impl_->noteTableTime(Result.TableTime_, Now);
+  Impl_->Unreachable_ = Result.Status_ != TransactionStatus::Committed &&
+                        Result.Status_ != TransactionStatus::Conflict;
+  switch (Result.Status_) {
+  case TransactionStatus::Committed:
+    Impl_->Doubtful_ = false;
+    Impl_->commit(Result.Version_, Now);
+    return;
+  case TransactionStatus::Conflict: {
+    // Either a lost reply's transaction took effect, which the slice rows
+    // show, or another router changed a total.
+    Impl_->rollBack();
+    Impl_->Doubtful_ = false;
+    for (const base::Row &Each : Result.Current_)
+      Impl_->adopt(Each);
+    return;
+  }
+  case TransactionStatus::NotSent:
+  case TransactionStatus::Unavailable:
+    Impl_->NotBefore_ = Now + Impl_->Settings_.Pause_;
+    if (!Impl_->Doubtful_)
+      Impl_->rollBack();
+    return;
+  case TransactionStatus::Unknown:
+    Impl_->NotBefore_ = Now + Impl_->Settings_.Pause_;
+    Impl_->Doubtful_ = true;
+    return;
+  }
+}
+
+void Escrow::close() { Impl_->Closing_ = true; }
+
+bool Escrow::closed() const {
+  if (!Impl_->Loaded_)
+    return true;
+  return std::all_of(
+      Impl_->Accounts_.begin(), Impl_->Accounts_.end(), [](const auto &Each) {
+        const AccountState &Of = Each.second;
+        return Of.Granted_ <= Of.used() && !Of.Pending_;
+      });
+}
+
+bool Escrow::loaded() const { return Impl_->Loaded_; }
+
+std::size_t Escrow::routers() const { return Impl_->Routers_; }
+
+EscrowStatus Escrow::status(const base::AccountId &Account,
+                            base::TimePoint Now) const {
+  auto Found = Impl_->Accounts_.find(Account);
+  if (Found == Impl_->Accounts_.end())
+    return {};
+  const AccountState &Of = Found->second;
+  return {base::Tokens(Of.Prepaid_), base::Tokens(Of.GrantedToAll_),
+          base::Tokens(Of.Granted_), base::Tokens(Of.Inherited_ + Of.Used_),
+          base::Tokens(Of.Held_),
+          base::Tokens(Impl_->available(Of, Now))};
+}
+
+} // namespace camphorwind::budget
--- /dev/null
+++ b/libs/direct/src/endpoint-list.cpp
@@ -0,0 +1,105 @@
+#include "camphorwind/direct/endpoint-list.h"
+
+#include <set>
+#include <utility>
+
+namespace camphorwind::direct {
+
+std::string_view toString(DepartureReason Reason) {
+  switch (Reason) {
+  case DepartureReason::Draining:
+    return "draining";
+  case DepartureReason::Unlisted:
+    return "unlisted";
+  case DepartureReason::Restarted:
+    return "restarted";
+  }
+  return "unknown";
+}
+
+void EndpointList::leave(const base::EndpointId &Endpoint,
+                         DepartureReason Reason) {
+  Missing_.erase(Endpoint);
+  auto Found = Usable_.find(Endpoint);
+  if (Found == Usable_.end())
+    return;
+  Changes_.push_back({std::move(Found->second), Reason});
+  Usable_.erase(Found);
+}
+
+void EndpointList::put(const ListedEndpoint &Entry, base::TimePoint) {
+  if (Entry.Draining_) {
+    leave(Entry.Endpoint_, DepartureReason::Draining);
+    return;
+  }
+  Missing_.erase(Entry.Endpoint_);
+  auto Found = Usable_.find(Entry.Endpoint_);
+  if (Found != Usable_.end()) {
+    if (Found->second == Entry)
+      return;
+    bool SamePlace = Found->second.Start_ == Entry.Start_ &&
+                     Found->second.Address_ == Entry.Address_ &&
+                     Found->second.Pool_ == Entry.Pool_;
+    if (!SamePlace)
+      leave(Entry.Endpoint_, DepartureReason::Restarted);
+  }
+  Usable_.insert_or_assign(Entry.Endpoint_, Entry);
+  Changes_.push_back({Entry, std::nullopt});
+}
+
+void EndpointList::remove(const base::EndpointId &Endpoint,
+                          base::TimePoint Now) {
+  if (!Usable_.contains(Endpoint))
+    return;
+  if (RegainedAt_ && Now - *RegainedAt_ < ReturnGrace) {
+    Missing_.try_emplace(Endpoint, *RegainedAt_ + ReturnGrace);
+    return;
+  }
+  leave(Endpoint, DepartureReason::Unlisted);
+}
+
+void EndpointList::replace(const std::vector<ListedEndpoint> &Entries,
+                           base::TimePoint Now) {
+  Loaded_ = true;
+  std::set<base::EndpointId> Listed;
+  for (const ListedEndpoint &Each : Entries) {
+    Listed.insert(Each.Endpoint_);
+    put(Each, Now);
+  }
+  std::vector<base::EndpointId> Absent;
+  for (const auto &[Id, Each] : Usable_)
+    if (!Listed.contains(Id))
+      Absent.push_back(Id);
+  for (const base::EndpointId &Each : Absent)
+    remove(Each, Now);
+}
+
+void EndpointList::setReachable(bool Reachable, base::TimePoint Now) {
+  if (Reachable && !Reachable_)
+    RegainedAt_ = Now;
+  Reachable_ = Reachable;
+}
+
+void EndpointList::tick(base::TimePoint Now) {
+  // While the list is away again, its silence says nothing.
+  if (!Reachable_)
+    return;
+  std::vector<base::EndpointId> Due;
+  for (const auto &[Id, Until] : Missing_)
+    if (Now >= Until)
+      Due.push_back(Id);
+  for (const base::EndpointId &Each : Due)
+    leave(Each, DepartureReason::Unlisted);
+}
+
+std::vector<EndpointChange> EndpointList::takeChanges() {
+  return std::exchange(Changes_, {});
+}
+
+const ListedEndpoint *
+EndpointList::find(const base::EndpointId &Endpoint) const {
+  auto Found = Usable_.find(Endpoint);
+  return Found == Usable_.end() ? nullptr : &Found->second;
+}
+
+} // namespace camphorwind::direct
--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -74,9 +74,13 @@
 
   /// The address bound to, with the port that the system chose.
   const Address &address() const;
+  /// Closes every connection after its next answer; new ones are accepted.
+  void closeAfterAnswers();
   /// Stops accepting connections; requests in progress go on, and their
   /// connections close after the answer.
   void stopAccepting();
+  /// Changes the largest request body, for requests that start from now on.
+  void setBodyLimit(std::size_t Bytes);
   /// Number of requests whose answer is not out.
   std::size_t inProgress() const;
 
--- a/libs/net/include/camphorwind/net/http.h
+++ b/libs/net/include/camphorwind/net/http.h
@@ -31,6 +31,8 @@
 /// A request received whole.
 struct HttpRequest {
   std::string Method_;
+  /// Path and query exactly as sent.
+  std::string Target_;
   /// Path without the query, as sent.
   std::string Path_;
   /// Decoded query arguments.
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -34,6 +34,8 @@
   HttpErrorAnswer ErrorAnswer_;
   MHD_Daemon *Daemon_ = nullptr;
   bool Quiesced_ = false;
+  /// Answers close their connections.
+  bool Closing_ = false;
   /// Requests whose answer is not out.
   std::unordered_set<Exchange *> Live_;
   Timer RunTimer_;
@@ -108,6 +110,10 @@
     OnDrain_ = std::move(Callback);
   }
 
+  void setTarget(const char *Target) { Request_.Target_ = Target; }
+  /// Returns true once, before the headers are read.
+  bool isNew() { return !std::exchange(Begun_, true); }
+
   /// Reads the request line and headers.
   void begin(const char *Url, const char *Method) {
     Request_.Method_ = Method;
@@ -251,7 +257,7 @@
   void addHeaders(MHD_Response *Response) const {
     for (const auto &[Name, Value] : Answer_.Headers_.fields())
       MHD_add_response_header(Response, Name.c_str(), Value.c_str());
-    if (Core_->Quiesced_ || CloseAfter_)
+    if (Core_->Closing_ || CloseAfter_)
       MHD_add_response_header(Response, "Connection", "close");
   }
 
@@ -324,6 +330,7 @@
   std::string Buffer_;
   std::size_t Sent_ = 0;
   AnswerState State_ = AnswerState::Waiting;
+  bool Begun_ = false;
   bool HandlerCalled_ = false;
   bool InHandler_ = false;
   bool Suspended_ = false;
@@ -364,20 +371,23 @@
 
 namespace {
 
-MHD_Result onAccess(void *Context, MHD_Connection *Connection, const char *Url,
+/// Called with the request line; what it returns becomes the request's state.
+void *onTarget(void *Context, const char *Target, MHD_Connection *Connection) {
+  auto &Core = *static_cast<ServerCore *>(Context);
+  auto *Self = new std::shared_ptr<Exchange>(
+      std::make_shared<Exchange>(Core, Connection));
+  (*Self)->setTarget(Target);
+  return Self;
+}
+
+MHD_Result onAccess(void *, MHD_Connection *, const char *Url,
                     const char *Method, const char *, const char *UploadData,
                     std::size_t *UploadSize, void **State) {
-  auto &Core = *static_cast<ServerCore *>(Context);
-  if (!*State) {
-    auto *Self = new std::shared_ptr<Exchange>(
-        std::make_shared<Exchange>(Core, Connection));
-    *State = Self;
-    (*Self)->begin(Url, Method);
-    if (!(*Self)->acceptsAnnouncedBody())
-      return (*Self)->refuseTooLarge();
-    return MHD_YES;
-  }
   auto &Self = *static_cast<std::shared_ptr<Exchange> *>(*State);
+  if (Self->isNew()) {
+    Self->begin(Url, Method);
+    return Self->acceptsAnnouncedBody() ? MHD_YES : Self->refuseTooLarge();
+  }
   if (*UploadSize > 0) {
     bool Kept = Self->addBody(UploadData, *UploadSize);
     *UploadSize = 0;
@@ -440,7 +450,8 @@
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, Limits.HeaderBytes_,
       MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(Limits.IdleTimeout_.count()),
-      MHD_OPTION_NOTIFY_COMPLETED, detail::onCompleted, &Core, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_COMPLETED, detail::onCompleted, &Core,
+      MHD_OPTION_URI_LOG_CALLBACK, detail::onTarget, &Core, MHD_OPTION_END);
   if (!Core.Daemon_)
     return base::failure(
         base::IoError{base::IoErrorKind::Library, "starting libmicrohttpd"});
@@ -455,11 +466,18 @@
 
 const Address &HttpServer::address() const { return Inner_->Address_; }
 
+void HttpServer::closeAfterAnswers() { Inner_->Core_.Closing_ = true; }
+
+void HttpServer::setBodyLimit(std::size_t Bytes) {
+  Inner_->Core_.Limits_.BodyBytes_ = Bytes;
+}
+
 void HttpServer::stopAccepting() {
   auto &Core = Inner_->Core_;
   if (Core.Quiesced_)
     return;
   Core.Quiesced_ = true;
+  Core.Closing_ = true;
   Socket Listening(MHD_quiesce_daemon(Core.Daemon_));
 }
 
--- /dev/null
+++ b/libs/routing/include/camphorwind/routing/direct-pool.h
@@ -0,0 +1,143 @@
+#ifndef CAMPHORWIND_ROUTING_DIRECT_POOL_H
+#define CAMPHORWIND_ROUTING_DIRECT_POOL_H
+
+#include "camphorwind/base/ids.h"
+#include "camphorwind/base/result.h"
+#include "camphorwind/base/time.h"
+#include "camphorwind/routing/ejector.h"
+#include "camphorwind/routing/prompt-cache.h"
+#include "camphorwind/routing/types.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+/// Choice among the endpoints of a pool that routers call without agents. There
+/// are no reports between answers: the state of an endpoint is estimated from
+/// this router's own requests and from the load that answers state.
+namespace camphorwind::routing {
+
+/// An endpoint as the platform's list shows it.
+struct DirectEndpoint {
+  base::EndpointId Endpoint_;
+  base::FailureDomainId Domain_;
+  /// Requests that run side by side.
+  std::uint32_t Slots_ = 1;
+  /// Memory for prompts in tokens; 0 for plain services.
+  std::uint64_t CacheTokens_ = 0;
+};
+
+/// Costs are shares of the value of one request.
+struct DirectPoolOptions {
+  /// This router's own domain.
+  base::FailureDomainId Domain_;
+  /// Routers that send to the pool, this one included.
+  std::size_t Routers_ = 4;
+  /// Time to the first token of a short prompt on an idle engine.
+  base::Duration BaseLatency_ = std::chrono::milliseconds(110);
+  /// Prompt tokens that an engine processes in a millisecond while it generates
+  /// for others.
+  double PromptTokensPerMillisecond_ = 60;
+  /// Duration of a plain call until one has been seen.
+  base::Duration CallTime_ = std::chrono::milliseconds(60);
+  /// Sending to another failure domain, per 1,000 bytes.
+  double CrossDomainCost_ = 0.003;
+  /// Copying 1,000 tokens of prompt from another engine.
+  double FetchCost_ = 0.009;
+  /// Processing 1,000 tokens of prompt.
+  double PrefillCost_ = 0.04;
+  /// Advantage of the engine to which all routers send a prompt by default.
+  double HomeAdvantage_ = 0.08;
+  /// Smallest part of a prompt that is worth a fetch.
+  std::uint32_t MinFetchTokens_ = 512;
+  /// Without any byte from an endpoint for this long beyond what was expected
+  /// it counts as silent.
+  base::Duration SilentAfter_ = std::chrono::milliseconds(600);
+  EjectorOptions Ejector_;
+};
+
+/// A request that needs an endpoint.
+struct Demand {
+  /// Empty for plain calls.
+  std::span<const PromptPart> Prompt_;
+  std::uint32_t PromptTokens_ = 0;
+  std::size_t BodyBytes_ = 0;
+  /// Time to the first byte that callers find good.
+  base::Duration Objective_{0};
+  base::TimePoint Deadline_{};
+  /// Endpoints of earlier attempts.
+  std::span<const base::EndpointId> Avoid_;
+};
+
+/// Where a request goes.
+struct Placement {
+  base::EndpointId Endpoint_;
+  base::Duration ExpectedFirst_{0};
+  std::uint32_t CachedTokens_ = 0;
+  /// Engine to copy the beginning of the prompt from.
+  std::optional<base::EndpointId> FetchFrom_;
+};
+
+/// Why there is no endpoint for a request.
+enum class PlacementError {
+  NoEndpoint, ///< None is present, or all that are were tried.
+  TooLate,    ///< None would answer before the deadline.
+};
+
+/// A request without an endpoint, and when it could have one.
+struct Misplacement {
+  PlacementError Error_ = PlacementError::NoEndpoint;
+  base::Duration RetryAfter_{0};
+};
+
+using DirectAttempt = std::uint64_t;
+
+/// The endpoints of one pool. No call does I/O; time never runs backwards.
+class DirectPool {
+public:
+  explicit DirectPool(DirectPoolOptions Options);
+  ~DirectPool();
+  DirectPool(DirectPool &&) noexcept;
+  DirectPool &operator=(DirectPool &&) noexcept;
+
+  /// Adds an endpoint or changes what is known of it.
+  void set(const DirectEndpoint &Added, base::TimePoint Now);
+  void remove(const base::EndpointId &Endpoint);
+  void setRouters(std::size_t Count);
+
+  base::Result<Placement, Misplacement> choose(const Demand &Wanted,
+                                               base::TimePoint Now);
+
+  /// A request was sent as placed. The id is for the calls below.
+  DirectAttempt sent(const Placement &Where, const Demand &Wanted,
+                     base::TimePoint Now);
+  /// The endpoint stated its load in the answer to \p Attempt.
+  void loadStated(DirectAttempt Attempt, std::uint32_t Running,
+                  std::uint32_t Waiting, base::TimePoint Now);
+  /// The first byte or event of the answer arrived.
+  void answered(DirectAttempt Attempt, base::TimePoint Now);
+  /// More of the answer arrived.
+  void progressed(DirectAttempt Attempt, base::TimePoint Now);
+  void finished(DirectAttempt Attempt, base::TimePoint Now);
+  void failed(DirectAttempt Attempt, FailureKind Kind, base::TimePoint Now);
+
+  /// Whether the endpoint has sent nothing for longer than it should.
+  bool silent(const base::EndpointId &Endpoint, base::TimePoint Now) const;
+  /// Ejects silent endpoints; call every 100 ms or so. Returns those ejected.
+  std::vector<base::EndpointId> sweep(base::TimePoint Now);
+  std::size_t size() const;
+  std::uint32_t inFlight(const base::EndpointId &Endpoint) const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Inner_;
+};
+
+} // namespace camphorwind::routing
+
+#endif // CAMPHORWIND_ROUTING_DIRECT_POOL_H
--- /dev/null
+++ b/libs/routing/include/camphorwind/routing/prompt-cache.h
@@ -0,0 +1,50 @@
+#ifndef CAMPHORWIND_ROUTING_PROMPT_CACHE_H
+#define CAMPHORWIND_ROUTING_PROMPT_CACHE_H
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <span>
+#include <unordered_map>
+
+namespace camphorwind::routing {
+
+/// A part of a prompt that requests may share.
+struct PromptPart {
+  std::uint64_t Id_ = 0;
+  std::uint32_t Tokens_ = 0;
+};
+
+/// What one engine is believed to have cached, from what was sent to it. Parts
+/// that were unused for longest give way.
+class PromptCache {
+public:
+  explicit PromptCache(std::uint64_t CapacityTokens)
+      : Capacity_(CapacityTokens) {}
+
+  /// Returns the tokens of the leading parts that are cached. A part counts
+  /// only if all parts before it are cached too.
+  std::uint32_t cachedTokens(std::span<const PromptPart> Prompt) const;
+  /// The engine has processed this prompt.
+  void add(std::span<const PromptPart> Prompt);
+  void clear();
+  std::uint64_t tokens() const { return Tokens_; }
+
+private:
+  struct Entry {
+    std::uint32_t Tokens_ = 0;
+    std::list<std::uint64_t>::iterator Place_;
+  };
+
+  void evict();
+
+  std::uint64_t Capacity_;
+  std::uint64_t Tokens_ = 0;
+  std::unordered_map<std::uint64_t, Entry> Entries_;
+  /// Most recently used first.
+  std::list<std::uint64_t> Order_;
+};
+
+} // namespace camphorwind::routing
+
+#endif // CAMPHORWIND_ROUTING_PROMPT_CACHE_H
