Size slices and ceilings by demand

Change: a router's share of all that is unspent follows its part of the demand, which slice rows now state; ceilings between checkpoints follow the demand too; draws no longer hold up checkpoints. Conclusion: refusals while the table is away are the largest loss left.

--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -34,8 +34,8 @@
   base::Duration CheckpointInterval_ = std::chrono::milliseconds(1000);
   /// Shortest time between two transactions.
   base::Duration MinInterval_ = std::chrono::milliseconds(100);
-  /// Table outage that a slice has to last for.
-  base::Duration Outage_ = std::chrono::milliseconds(9000);
+  /// Routers that are there at least, before they have been heard of.
+  std::size_t ExpectedRouters_ = 1;
   /// Pause after the table failed.
   base::Duration Pause_ = std::chrono::milliseconds(300);
 };
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -31,15 +31,21 @@
 /// Demand that a router without requests is credited with: the budget over
 /// this time.
 constexpr double IdleDemandSeconds = 2000;
-/// Part of what is available that may be spent at once after a checkpoint; the
-/// rest is released over the length of a table outage.
-constexpr std::int64_t BurstDivisor = 3;
+/// Between checkpoints a router may spend this many seconds of its demand at
+/// once, and this many times its demand all the time. Higher figures serve
+/// bursts while the table is away; lower ones strand less with a router that is
+/// killed then.
+constexpr double BurstSeconds = 3;
+constexpr double CeilingFactor = 2;
+/// The same for an account without demand, as parts of what it holds.
+constexpr double IdleBurstShare = 0.15;
+constexpr double IdleSeconds = 40;
 /// A router that was not heard of for this long is not counted.
 constexpr milliseconds PresenceTimeout{6000};
 /// Time between two reads of all rows, in general and while an account is
 /// nearly spent.
-constexpr milliseconds RowsInterval{1500};
-constexpr milliseconds ScarceRowsInterval{500};
+constexpr milliseconds RowsInterval{700};
+constexpr milliseconds ScarceRowsInterval{300};
 /// Rows older than this prove nothing about what others hold.
 constexpr milliseconds EvidenceAge{1500};
 /// Smoothing time of the rate of spending.
@@ -74,6 +80,7 @@
   /// Tokens spent a second, smoothed.
   double Demand_ = 0;
   base::TimePoint DemandAt_{};
+  base::TimePoint FirstUseAt_{};
   base::TimePoint CheckpointAt_{};
   base::TimePoint GrantAt_{};
 
@@ -144,7 +151,7 @@
   /// This router's part, by demand, of all that is unspent.
   double share(const AccountState &Of, base::TimePoint Now) const {
     double Idle = static_cast<double>(Of.Prepaid_) / IdleDemandSeconds;
-    double Own = demand(Of, Now) + Idle;
+    double Own = static_cast<double>(publishedDemand(Of, Now)) + Idle;
     double All = Own + Of.DemandOfOthers_ +
                  Idle * static_cast<double>(Routers_ - 1);
     std::int64_t Unspent = std::max<std::int64_t>(0, undrawn(Of)) +
@@ -184,6 +191,14 @@
         std::ceil(Part * static_cast<double>(-undrawn(Of))));
   }
 
+  /// Demand as the other routers see it; what was asked for in vain counts.
+  static std::int64_t publishedDemand(const AccountState &Of,
+                                      base::TimePoint Now) {
+    return static_cast<std::int64_t>(
+        demand(Of, Now) +
+        static_cast<double>(Of.Wanted_) / DemandAverage.count());
+  }
+
   static double demand(const AccountState &Of, base::TimePoint Now) {
     std::chrono::duration<double> Age = Now - Of.DemandAt_;
     return Of.Demand_ * std::exp(-Age / DemandAverage);
@@ -196,16 +211,27 @@
     Of.DemandAt_ = Now;
   }
 
+  /// Tokens a second that the ceiling is sized by: the recent rate, or the
+  /// mean since the first request if that is higher.
+  double sustainedDemand(const AccountState &Of, base::TimePoint Now) const {
+    if (Of.Used_ + Of.Held_ == 0)
+      return 0;
+    std::chrono::duration<double> Age = Now - Of.FirstUseAt_;
+    double Mean = static_cast<double>(Of.Used_ + Of.Held_) /
+                  std::max(DemandAverage.count(), Age.count());
+    return std::max(Mean, demand(Of, Now));
+  }
+
   Checkpoint nextCheckpoint(const AccountState &Of, std::int64_t Granted,
                             base::TimePoint Now) const {
     std::int64_t Rest = std::max<std::int64_t>(0, Granted - Of.used());
-    std::int64_t Burst = std::min(
-        Rest, std::max(Rest / BurstDivisor, 2 * Of.LargestBound_));
-    auto Seconds = std::max<std::int64_t>(
-        1, std::chrono::duration_cast<std::chrono::seconds>(Settings_.Outage_)
-               .count());
-    std::int64_t Rate = (Rest - Burst + Seconds - 1) / Seconds;
-    return {Of.used(), Burst, Rate, tableTime(Now)};
+    auto Held = static_cast<double>(Rest);
+    double Demand = sustainedDemand(Of, Now);
+    double Burst = std::max({BurstSeconds * Demand, IdleBurstShare * Held,
+                             2.0 * static_cast<double>(Of.LargestBound_)});
+    double Rate = std::max(CeilingFactor * Demand, Held / IdleSeconds);
+    return {Of.used(), std::min(Rest, static_cast<std::int64_t>(Burst)),
+            static_cast<std::int64_t>(std::ceil(Rate)), tableTime(Now)};
   }
 
   /// Whether the account's slice should change.
@@ -223,7 +249,7 @@
     if (Of.Wanted_ > 0 && Of.Wanted_ <= Rest &&
         Of.Wanted_ > available(Of, Now))
       return true;
-    return Of.used() != Of.Confirmed_->Used_ &&
+    return (Of.used() != Of.Confirmed_->Used_ || Of.Wanted_ > 0) &&
            Now - Of.CheckpointAt_ >= Settings_.CheckpointInterval_;
   }
 
@@ -270,7 +296,7 @@
         {std::move(Key),
          detail::encodeSlice(
              {Settings_.Incarnation_.str(), Granted, *Of.Pending_,
-              static_cast<std::int64_t>(demand(Of, Now))})});
+              publishedDemand(Of, Now)})});
     if (Grant != 0) {
       std::string Total = detail::totalKey(Account);
       Change.Conditions_.push_back({Total, Of.TotalVersion_});
@@ -365,7 +391,7 @@
 
   EscrowSettings Settings_;
   std::map<base::AccountId, AccountState> Accounts_;
-  std::size_t Routers_ = 1;
+  std::size_t Routers_ = Settings_.ExpectedRouters_;
   bool Loaded_ = false;
   bool Closing_ = false;
   /// The result of the transaction in progress is not known.
@@ -390,7 +416,7 @@
   if (Settings.Incarnation_.empty())
     return base::failure(EscrowError::EmptyIncarnation);
   if (Settings.CheckpointInterval_ <= base::Duration::zero() ||
-      Settings.Outage_ <= base::Duration::zero())
+      Settings.ExpectedRouters_ == 0)
     return base::failure(EscrowError::BadInterval);
   return Escrow(std::make_unique<Impl>(std::move(Settings)));
 }
@@ -415,6 +441,8 @@
   std::int64_t Wanted = Bound.count();
   Of.LargestBound_ = std::max(Of.LargestBound_, Wanted);
   if (Wanted <= Impl_->available(Of, Now)) {
+    if (Of.Used_ + Of.Held_ == 0)
+      Of.FirstUseAt_ = Now;
     Of.Held_ += Wanted;
     Impl::noteDemand(Of, Wanted, Now);
     return base::success();
@@ -482,7 +510,8 @@
     if (!Impl_->Running_ && !Impl_->Doubtful_)
       Impl_->adopt(Each);
   }
-  Impl_->Routers_ = std::max<std::size_t>(1, Routers + (Listed ? 0 : 1));
+  Impl_->Routers_ = std::max(Impl_->Settings_.ExpectedRouters_,
+                             Routers + (Listed ? 0 : 1));
   Impl_->RowsAt_ = Now;
   Impl_->RowsSeen_ = true;
   Impl_->Loaded_ = true;
