Wait for busy endpoints instead of giving up on them

Change: giving up takes four expected times, or half of that where the endpoint sends nothing at all; ejections last 1 s to 8 s; a restarted router assumes that a prompt's home has its shared beginning; ceilings are tighter.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -32,6 +32,10 @@
 constexpr milliseconds ConnectTimeout = 500ms;
 /// Silence of a stream after which it goes on elsewhere, if it may.
 constexpr milliseconds StreamStall = 1200ms;
+/// Before its first byte an attempt is given up after this many times the
+/// expected time and the objective; half of that at a silent endpoint.
+constexpr int StallFactor = 4;
+constexpr int StallObjectives = 3;
 /// Without a configuration source for this long, what is not in the
 /// configuration may still exist.
 constexpr milliseconds SourceSilence = 1000ms;
@@ -375,8 +379,13 @@
 }
 
 void ForwardedRequest::closeAttempt(routing::FailureKind Kind) {
-  Shared_.pool(Pool_).Choice_.failed(Attempt_.Pooled_, Kind,
-                                     Shared_.Owner_.now());
+  auto Ejected = Shared_.pool(Pool_).Choice_.failed(Attempt_.Pooled_, Kind,
+                                                    Shared_.Owner_.now());
+  if (Ejected)
+    observe::log(LogLevel::Warning, "endpoint_ejected",
+                 {{"endpoint", Placed_.Endpoint_.str()},
+                  {"reason", routing::toString(*Ejected)},
+                  {"request", Facts_.AttemptId_}});
   Events_.dropUnfinished();
 }
 
@@ -500,10 +509,12 @@
   auto &Pool = Shared_.pool(Pool_);
   bool Silent = Pool.Choice_.silent(Placed_.Endpoint_, Now);
   base::Duration Quiet = Now - Attempt_.LastByteAt_;
+  // A busy endpoint is only slow: to give up there would waste what it has
+  // done, and load another. One from which nothing at all comes may be gone.
   base::Duration Limit = StreamStall;
   if (!Attempt_.HeadSeen_)
-    Limit = std::max<base::Duration>(3 * Placed_.ExpectedFirst_,
-                                     Route_->Objective_);
+    Limit = std::max<base::Duration>(StallFactor * Placed_.ExpectedFirst_,
+                                     StallObjectives * Route_->Objective_);
   if (!(Silent && Quiet > Limit / 2) && Quiet <= Limit)
     return;
   if (!Pool.Retries_.available(Now))
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -35,11 +35,13 @@
 /// once, and this many times its demand all the time. Higher figures serve
 /// bursts while the table is away; lower ones strand less with a router that is
 /// killed then.
-constexpr double BurstSeconds = 3;
-constexpr double CeilingFactor = 2;
+constexpr double BurstSeconds = 2;
+constexpr double CeilingFactor = 1.4;
 /// The same for an account without demand, as parts of what it holds.
-constexpr double IdleBurstShare = 0.15;
-constexpr double IdleSeconds = 40;
+constexpr double IdleBurstShare = 0.05;
+constexpr double IdleSeconds = 60;
+/// Tokens that may always be spent at once: a few usual requests.
+constexpr double LeastBurst = 16000;
 /// A router that was not heard of for this long is not counted.
 constexpr milliseconds PresenceTimeout{6000};
 /// Time between two reads of all rows, in general and while an account is
@@ -227,7 +229,7 @@
     std::int64_t Rest = std::max<std::int64_t>(0, Granted - Of.used());
     auto Held = static_cast<double>(Rest);
     double Demand = sustainedDemand(Of, Now);
-    double Burst = std::max({BurstSeconds * Demand, IdleBurstShare * Held,
+    double Burst = std::max({BurstSeconds * Demand, IdleBurstShare * Held, LeastBurst,
                              2.0 * static_cast<double>(Of.LargestBound_)});
     double Rate = std::max(CeilingFactor * Demand, Held / IdleSeconds);
     return {Of.used(), std::min(Rest, static_cast<std::int64_t>(Burst)),
--- a/libs/routing/include/camphorwind/routing/direct-pool.h
+++ b/libs/routing/include/camphorwind/routing/direct-pool.h
@@ -39,10 +39,10 @@
   /// Routers that send to the pool, this one included.
   std::size_t Routers_ = 4;
   /// Time to the first token of a short prompt on an idle engine.
-  base::Duration BaseLatency_ = std::chrono::milliseconds(110);
+  base::Duration BaseLatency_ = std::chrono::milliseconds(90);
   /// Prompt tokens that an engine processes in a millisecond while it generates
   /// for others.
-  double PromptTokensPerMillisecond_ = 60;
+  double PromptTokensPerMillisecond_ = 57;
   /// Duration of a plain call until one has been seen.
   base::Duration CallTime_ = std::chrono::milliseconds(60);
   /// Sending to another failure domain, per 1,000 bytes.
@@ -58,7 +58,14 @@
   /// Without any byte from an endpoint for this long beyond what was expected
   /// it counts as silent.
   base::Duration SilentAfter_ = std::chrono::milliseconds(600);
-  EjectorOptions Ejector_;
+  /// Part of a prompt's shared beginning that its home is believed to have
+  /// cached while nothing is known, as after a restart of this router.
+  double AssumedAtHome_ = 0.7;
+  /// Shorter than where agents watch endpoints: only requests show here that an
+  /// endpoint works again.
+  EjectorOptions Ejector_ = {.ConsecutiveFailures_ = 4,
+                             .FirstEjection_ = std::chrono::seconds(1),
+                             .LongestEjection_ = std::chrono::seconds(8)};
 };
 
 /// A request that needs an endpoint.
@@ -124,7 +131,9 @@
   /// More of the answer arrived.
   void progressed(DirectAttempt Attempt, base::TimePoint Now);
   void finished(DirectAttempt Attempt, base::TimePoint Now);
-  void failed(DirectAttempt Attempt, FailureKind Kind, base::TimePoint Now);
+  /// Returns why the endpoint was ejected, if it was.
+  std::optional<EjectionReason>
+  failed(DirectAttempt Attempt, FailureKind Kind, base::TimePoint Now);
 
   /// Whether the endpoint has sent nothing for longer than it should.
   bool silent(const base::EndpointId &Endpoint, base::TimePoint Now) const;
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -188,6 +188,13 @@
                      Of.Traits_.Endpoint_) != Wanted.Avoid_.end();
   }
 
+  std::uint32_t assumedAtHome(std::span<const PromptPart> Prompt) const {
+    std::uint32_t Shared = 0;
+    for (const PromptPart &Part : Prompt.first(Prompt.size() - 1))
+      Shared += Part.Tokens_;
+    return static_cast<std::uint32_t>(Options_.AssumedAtHome_ * Shared);
+  }
+
   struct Offer {
     Endpoint *To_ = nullptr;
     double Cost_ = 0;
@@ -200,6 +207,8 @@
               const Holder &Held, base::TimePoint Now) const {
     Offer Made{&Each};
     Made.Cached_ = Each.Cache_.cachedTokens(Wanted.Prompt_);
+    if (&Each == Home && Made.Cached_ == 0)
+      Made.Cached_ = assumedAtHome(Wanted.Prompt_);
     double Cost = 0;
     if (Held.Engine_ && Held.Engine_ != &Each &&
         Held.Tokens_ >= Made.Cached_ + Options_.MinFetchTokens_) {
@@ -444,14 +453,16 @@
   Inner_->Attempts_.erase(Found);
 }
 
-void DirectPool::failed(DirectAttempt Attempt, FailureKind Kind,
-                        base::TimePoint Now) {
+std::optional<EjectionReason> DirectPool::failed(DirectAttempt Attempt,
+                                                 FailureKind Kind,
+                                                 base::TimePoint Now) {
   auto Found = Inner_->Attempts_.find(Attempt);
   if (Found == Inner_->Attempts_.end())
-    return;
+    return std::nullopt;
+  std::optional<EjectionReason> Ejected;
   if (Impl::Endpoint *Of = Inner_->endpointOf(Found->second)) {
     Inner_->closeAttempt(*Of, Attempt, Found->second, Now);
-    Inner_->Ejector_.failed(Of->Index_, Kind, Now);
+    Ejected = Inner_->Ejector_.failed(Of->Index_, Kind, Now);
     if (Kind != FailureKind::Cancelled) {
       double Known = Inner_->failureRate(*Of, Now);
       Of->FailureRate_ = Known + SampleWeight * (1 - Known);
@@ -459,6 +470,7 @@
     }
   }
   Inner_->Attempts_.erase(Found);
+  return Ejected;
 }
 
 bool DirectPool::silent(const base::EndpointId &Endpoint,
