Divide the retry slack from the start; keep the end of a budget for urgent requests

Kills in a table outage still strand what ceilings allow. Change: the retry window takes the number of routers when it is made; ceilings follow a 6 s mean of the demand with a factor of 1.2; the last 6% of a budget goes to requests of priority 0.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -37,9 +37,9 @@
     return Found->second;
   routing::DirectPoolOptions Options;
   Options.Domain_ = Settings_.Domain_;
-  Options.Routers_ = std::max<std::size_t>(1, Escrow_.routers());
+  Options.Routers_ = Escrow_.routers();
   PoolState Made{routing::DirectPool(std::move(Options)),
-                 routing::RetryWindow(Settings_.Retries_)};
+                 routing::RetryWindow(Settings_.Retries_, Escrow_.routers())};
   return Pools_.emplace(Id, std::move(Made)).first->second;
 }
 
--- a/daemons/direct/escrow-driver.h
+++ b/daemons/direct/escrow-driver.h
@@ -31,7 +31,9 @@
     base::TimePoint Now = Owner_.now();
     if (!Reading_ && Now >= ReadNotBefore_ && Router_.escrow().wantsRows(Now)) {
       Reading_ = true;
-      Rows_.scan("", [this](const base::ReadResult &Read) { onRows(Read); });
+      Rows_.scan("", [this, Now](const base::ReadResult &Read) {
+        onRows(Read, Now);
+      });
     }
     if (auto Change = Router_.escrow().nextTransaction(Now))
       Rows_.transact(std::move(*Change),
@@ -40,13 +42,13 @@
                      });
   }
 
-  void onRows(const base::ReadResult &Read) {
+  void onRows(const base::ReadResult &Read, base::TimePoint AskedAt) {
     Reading_ = false;
     bool Ok = Read.Status_ == base::ReadStatus::Ok;
     if (!Ok)
       ReadNotBefore_ = Owner_.now() + ReadPause;
     note(Ok);
-    Router_.escrow().onRows(Read, Owner_.now());
+    Router_.escrow().onRows(Read, AskedAt, Owner_.now());
     Router_.escrowChanged();
     step();
   }
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -18,6 +18,8 @@
 
 /// Longest wait for tokens to be drawn from the table: some transactions.
 constexpr milliseconds TokenWait = 300ms;
+/// Until routers that hold more than they need have returned it.
+constexpr milliseconds TokensElsewhereWait = 1500ms;
 /// Sends of one request, those that reached nobody included.
 constexpr unsigned MaxSends = 4;
 /// Below this rest of its time a request is not tried again.
@@ -124,7 +126,8 @@
     return true;
   base::Tokens Bound = Facts_.PromptTokens_ + Facts_.MaxOutputTokens_;
   base::TimePoint Now = Shared_.Owner_.now();
-  auto Made = Shared_.Escrow_.reserve(Account_->Account_, Bound, Now);
+  auto Made = Shared_.Escrow_.reserve(Account_->Account_, Bound,
+                                      Route_->Priority_ == 0, Now);
   if (Made) {
     Reserved_ = Bound;
     HasReservation_ = true;
@@ -141,7 +144,7 @@
   if (Made.error() == budget::EscrowRefusal::Spent)
     refuse(RefusalReason::BudgetSpent);
   else
-    refuse(RefusalReason::NoSliceTableUnreachable);
+    refuse(RefusalReason::NoSliceTableUnreachable, TokensElsewhereWait);
   return false;
 }
 
--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -30,8 +30,13 @@
   /// Name of the host's router; processes that follow each other share it.
   base::RouterId Router_;
   base::Incarnation Incarnation_;
-  /// Time between two checkpoints while anything is spent.
-  base::Duration CheckpointInterval_ = std::chrono::milliseconds(1000);
+  /// When this process started: the one before it was gone by then.
+  base::TimePoint StartedAt_{};
+  /// Shortest time between two checkpoints while anything is spent. A killed
+  /// router strands what it might have spent since the last one.
+  base::Duration CheckpointInterval_ = std::chrono::milliseconds(500);
+  /// Transactions a second that all routers' checkpoints may take together.
+  double CheckpointsPerSecond_ = 100;
   /// Shortest time between two transactions.
   base::Duration MinInterval_ = std::chrono::milliseconds(100);
   /// Routers that are there at least, before they have been heard of.
@@ -46,6 +51,7 @@
 enum class EscrowRefusal {
   Spent,       ///< What all routers hold and the rest do not cover the bound.
   NotHere,     ///< Others may hold enough; worth another try soon.
+  KeptBack,    ///< What is left is kept for urgent requests.
   NotLoaded,   ///< The table has not been read yet.
   Unreachable, ///< The slice is used up and the table can't be reached.
 };
@@ -84,8 +90,9 @@
   void setBudget(const base::AccountId &Account, base::Tokens Prepaid);
 
   /// Sets tokens aside for one request; every reservation ends with settle().
+  /// The last part of a budget is kept for requests that are \p Urgent.
   base::Result<void, EscrowRefusal> reserve(const base::AccountId &Account,
-                                            base::Tokens Bound,
+                                            base::Tokens Bound, bool Urgent,
                                             base::TimePoint Now);
   /// Ends a reservation of \p Bound, of which \p Spent was used.
   void settle(const base::AccountId &Account, base::Tokens Bound,
@@ -93,8 +100,10 @@
 
   /// Whether all rows should be read now; answer with onRows().
   bool wantsRows(base::TimePoint Now) const;
-  /// Takes every row of the table; \p Now is when the answer arrived.
-  void onRows(const base::ReadResult &Read, base::TimePoint Now);
+  /// Takes every row of the table; \p AskedAt is when the read was sent and
+  /// \p Now when its answer arrived.
+  void onRows(const base::ReadResult &Read, base::TimePoint AskedAt,
+              base::TimePoint Now);
   /// Returns the transaction to run now, if any; answer with onTransaction().
   std::optional<base::Transaction> nextTransaction(base::TimePoint Now);
   void onTransaction(const base::TransactionResult &Result,
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -26,8 +26,13 @@
 constexpr double ReturnShare = 1.4;
 /// What it keeps then.
 constexpr double KeepShare = 1.1;
+/// Part of a budget that is kept for urgent requests at its end: they bring
+/// most for a token.
+constexpr double UrgentShare = 0.06;
 /// Smaller corrections, as a part of the budget, are not worth a transaction.
 constexpr double LeastCorrection = 0.01;
+/// Time between two corrections for one account.
+constexpr milliseconds GrantInterval{1000};
 /// Demand that a router without requests is credited with: the budget over
 /// this time.
 constexpr double IdleDemandSeconds = 2000;
@@ -35,8 +40,8 @@
 /// once, and this many times its demand all the time. Higher figures serve
 /// bursts while the table is away; lower ones strand less with a router that is
 /// killed then.
-constexpr double BurstSeconds = 2;
-constexpr double CeilingFactor = 1.4;
+constexpr double BurstSeconds = 1;
+constexpr double CeilingFactor = 1.2;
 /// The same for an account without demand, as parts of what it holds.
 constexpr double IdleBurstShare = 0.05;
 constexpr double IdleSeconds = 60;
@@ -51,7 +56,9 @@
 /// Rows older than this prove nothing about what others hold.
 constexpr milliseconds EvidenceAge{1500};
 /// Smoothing time of the rate of spending.
-constexpr std::chrono::duration<double> DemandAverage{3.0};
+constexpr std::chrono::duration<double> DemandAverage{6.0};
+/// Younger averages are taken to be this old.
+constexpr std::chrono::duration<double> LeastAge{1.0};
 
 struct AccountState {
   std::int64_t Prepaid_ = 0;
@@ -97,6 +104,8 @@
     return "spent";
   case EscrowRefusal::NotHere:
     return "not_here";
+  case EscrowRefusal::KeptBack:
+    return "kept_back";
   case EscrowRefusal::NotLoaded:
     return "not_loaded";
   case EscrowRefusal::Unreachable:
@@ -125,6 +134,17 @@
     TableTimeAt_ = Now;
   }
 
+  /// Bounds the table's time at which this process started: when a read was
+  /// sent, the table's clock was not beyond what the answer states.
+  void noteStart(std::optional<milliseconds> Stated, base::TimePoint AskedAt) {
+    if (!Stated)
+      return;
+    milliseconds Bound =
+        *Stated - std::chrono::duration_cast<milliseconds>(
+                      AskedAt - Settings_.StartedAt_);
+    StartedBy_ = StartedBy_ ? std::min(*StartedBy_, Bound) : Bound;
+  }
+
   std::int64_t ceiling(const AccountState &Of, base::TimePoint Now) const {
     if (!Of.Confirmed_)
       return 0;
@@ -150,15 +170,19 @@
     return Of.Prepaid_ - Of.GrantedToAll_;
   }
 
+  /// What no router has spent, as far as is known here.
+  static std::int64_t unspent(const AccountState &Of) {
+    return std::max<std::int64_t>(0, undrawn(Of)) + Of.HeldByOthers_ +
+           std::max<std::int64_t>(0, Of.Granted_ - Of.used());
+  }
+
   /// This router's part, by demand, of all that is unspent.
   double share(const AccountState &Of, base::TimePoint Now) const {
     double Idle = static_cast<double>(Of.Prepaid_) / IdleDemandSeconds;
     double Own = static_cast<double>(publishedDemand(Of, Now)) + Idle;
     double All = Own + Of.DemandOfOthers_ +
                  Idle * static_cast<double>(Routers_ - 1);
-    std::int64_t Unspent = std::max<std::int64_t>(0, undrawn(Of)) +
-                           Of.HeldByOthers_ + Of.Granted_ - Of.used();
-    return HeldShare * static_cast<double>(Unspent) * Own / All;
+    return HeldShare * static_cast<double>(unspent(Of)) * Own / All;
   }
 
   /// Tokens to draw (above zero) or to return (below zero) now.
@@ -173,7 +197,7 @@
       return std::min(
           Left, std::max(Of.Wanted_ - Rest,
                          static_cast<std::int64_t>(share(Of, Now)) - Rest));
-    if (Now - Of.GrantAt_ < Settings_.CheckpointInterval_ && Of.Confirmed_)
+    if (Now - Of.GrantAt_ < GrantInterval && Of.Confirmed_)
       return 0;
     double Share = share(Of, Now);
     auto Held = static_cast<double>(Rest);
@@ -201,34 +225,29 @@
         static_cast<double>(Of.Wanted_) / DemandAverage.count());
   }
 
+  /// Tokens a second, smoothed.
   static double demand(const AccountState &Of, base::TimePoint Now) {
-    std::chrono::duration<double> Age = Now - Of.DemandAt_;
-    return Of.Demand_ * std::exp(-Age / DemandAverage);
+    std::chrono::duration<double> Idle = Now - Of.DemandAt_;
+    std::chrono::duration<double> Age = Now - Of.FirstUseAt_;
+    double Smoothed = Of.Demand_ * std::exp(-Idle / DemandAverage);
+    // The average has not seen its whole time yet.
+    double Seen = 1 - std::exp(-std::max(LeastAge, Age) / DemandAverage);
+    return Smoothed / Seen;
   }
 
   static void noteDemand(AccountState &Of, std::int64_t Tokens,
                          base::TimePoint Now) {
-    Of.Demand_ = demand(Of, Now) +
+    std::chrono::duration<double> Idle = Now - Of.DemandAt_;
+    Of.Demand_ = Of.Demand_ * std::exp(-Idle / DemandAverage) +
                  static_cast<double>(Tokens) / DemandAverage.count();
     Of.DemandAt_ = Now;
   }
 
-  /// Tokens a second that the ceiling is sized by: the recent rate, or the
-  /// mean since the first request if that is higher.
-  double sustainedDemand(const AccountState &Of, base::TimePoint Now) const {
-    if (Of.Used_ + Of.Held_ == 0)
-      return 0;
-    std::chrono::duration<double> Age = Now - Of.FirstUseAt_;
-    double Mean = static_cast<double>(Of.Used_ + Of.Held_) /
-                  std::max(DemandAverage.count(), Age.count());
-    return std::max(Mean, demand(Of, Now));
-  }
-
   Checkpoint nextCheckpoint(const AccountState &Of, std::int64_t Granted,
                             base::TimePoint Now) const {
     std::int64_t Rest = std::max<std::int64_t>(0, Granted - Of.used());
     auto Held = static_cast<double>(Rest);
-    double Demand = sustainedDemand(Of, Now);
+    double Demand = demand(Of, Now);
     double Burst = std::max({BurstSeconds * Demand, IdleBurstShare * Held, LeastBurst,
                              2.0 * static_cast<double>(Of.LargestBound_)});
     double Rate = std::max(CeilingFactor * Demand, Held / IdleSeconds);
@@ -236,6 +255,13 @@
             static_cast<std::int64_t>(std::ceil(Rate)), tableTime(Now)};
   }
 
+  base::Duration checkpointInterval() const {
+    std::chrono::duration<double> Fair(static_cast<double>(Routers_) /
+                                       Settings_.CheckpointsPerSecond_);
+    return std::max(Settings_.CheckpointInterval_,
+                    std::chrono::duration_cast<base::Duration>(Fair));
+  }
+
   /// Whether the account's slice should change.
   bool wantsGrant(const AccountState &Of, base::TimePoint Now) const {
     return Of.Known_ && grantFor(Of, Now) != 0;
@@ -252,7 +278,7 @@
         Of.Wanted_ > available(Of, Now))
       return true;
     return (Of.used() != Of.Confirmed_->Used_ || Of.Wanted_ > 0) &&
-           Now - Of.CheckpointAt_ >= Settings_.CheckpointInterval_;
+           Now - Of.CheckpointAt_ >= checkpointInterval();
   }
 
   /// Grants change rows that routers share and may conflict, so they do not
@@ -378,7 +404,8 @@
     // ceiling allowed counts as spent. Nothing may be spent before a checkpoint
     // of this incarnation stands.
     Of.Inherited_ =
-        std::min(Row->Granted_, Row->Checkpoint_.ceiling(TableTime_));
+        std::min(Row->Granted_, Row->Checkpoint_.ceiling(
+                                    StartedBy_.value_or(TableTime_)));
     Of.Confirmed_.reset();
   }
 
@@ -407,6 +434,8 @@
   base::TimePoint RowsAt_{};
   bool RowsSeen_ = false;
 
+  /// The table's time by which this process had started.
+  std::optional<milliseconds> StartedBy_;
   bool HasTableTime_ = false;
   milliseconds TableTime_{0};
   base::TimePoint TableTimeAt_{};
@@ -418,7 +447,7 @@
   if (Settings.Incarnation_.empty())
     return base::failure(EscrowError::EmptyIncarnation);
   if (Settings.CheckpointInterval_ <= base::Duration::zero() ||
-      Settings.ExpectedRouters_ == 0)
+      Settings.ExpectedRouters_ == 0 || Settings.CheckpointsPerSecond_ <= 0)
     return base::failure(EscrowError::BadInterval);
   return Escrow(std::make_unique<Impl>(std::move(Settings)));
 }
@@ -435,12 +464,15 @@
 }
 
 base::Result<void, EscrowRefusal>
-Escrow::reserve(const base::AccountId &Account, base::Tokens Bound,
+Escrow::reserve(const base::AccountId &Account, base::Tokens Bound, bool Urgent,
                 base::TimePoint Now) {
   if (!Impl_->Loaded_)
     return base::failure(EscrowRefusal::NotLoaded);
   AccountState &Of = Impl_->Accounts_[Account];
   std::int64_t Wanted = Bound.count();
+  double Unspent = static_cast<double>(Impl::unspent(Of) - Wanted);
+  if (!Urgent && Unspent < UrgentShare * static_cast<double>(Of.Prepaid_))
+    return base::failure(EscrowRefusal::KeptBack);
   Of.LargestBound_ = std::max(Of.LargestBound_, Wanted);
   if (Wanted <= Impl_->available(Of, Now)) {
     if (Of.Used_ + Of.Held_ == 0)
@@ -450,10 +482,8 @@
     return base::success();
   }
   Of.Wanted_ = std::max(Of.Wanted_, Wanted);
-  std::int64_t Rest = std::max<std::int64_t>(0, Of.Granted_ - Of.used());
   bool Fresh = Impl_->RowsSeen_ && Now - Impl_->RowsAt_ < EvidenceAge;
-  std::int64_t InFleet = Impl::undrawn(Of) + Of.HeldByOthers_ + Rest;
-  if (Fresh && InFleet < Wanted)
+  if (Fresh && Impl::unspent(Of) < Wanted)
     return base::failure(EscrowRefusal::Spent);
   if (Impl_->Unreachable_)
     return base::failure(EscrowRefusal::Unreachable);
@@ -481,10 +511,12 @@
                      [](const auto &Each) { return Each.second.Wanted_ > 0; });
 }
 
-void Escrow::onRows(const base::ReadResult &Read, base::TimePoint Now) {
+void Escrow::onRows(const base::ReadResult &Read, base::TimePoint AskedAt,
+                    base::TimePoint Now) {
   Impl_->Unreachable_ = Read.Status_ != base::ReadStatus::Ok;
   if (Impl_->Unreachable_)
     return;
+  Impl_->noteStart(Read.TableTime_, AskedAt);
   Impl_->noteTableTime(Read.TableTime_, Now);
   milliseconds Time = Impl_->tableTime(Now);
   for (auto &[Account, Of] : Impl_->Accounts_) {
--- a/libs/routing/include/camphorwind/routing/retry-window.h
+++ b/libs/routing/include/camphorwind/routing/retry-window.h
@@ -27,9 +27,12 @@
   /// replaced within a window, whose successors start with nothing spent.
   static constexpr double UsedSlack = 0.5;
 
-  explicit RetryWindow(RetryWindowOptions Options) : Options_(Options) {}
+  /// \p Routers share the slack, this one included.
+  RetryWindow(RetryWindowOptions Options, std::size_t Routers)
+      : Options_(Options) {
+    setRouters(Routers);
+  }
 
-  void setOptions(RetryWindowOptions Options) { Options_ = Options; }
   void setRouters(std::size_t Count) { Routers_ = Count > 0 ? Count : 1; }
   /// A request arrived, whether or not it was sent on.
   void addRequest(base::TimePoint Now);
