Draw tokens when a request waits instead of holding bursts ready

Cause: every router's ceiling held a burst of two large requests for every account; a kill strands it, up to a third of a small budget. Change: a burst is half a second of demand; a request that needs more gets a checkpoint at once, without waiting for the next tick.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -274,6 +274,9 @@
   Inner_->noteReadiness();
 }
 budget::Escrow &DirectRouter::escrow() { return Inner_->Shared_.Escrow_; }
+void DirectRouter::onTokensWanted(std::function<void()> Callback) {
+  Inner_->Shared_.OnTokensWanted_ = std::move(Callback);
+}
 void DirectRouter::escrowChanged() { Inner_->escrowChanged(); }
 observe::Metrics &DirectRouter::metrics() { return Inner_->Shared_.Metrics_; }
 bool DirectRouter::ready() const { return Inner_->ready(); }
--- a/daemons/direct/direct-router.h
+++ b/daemons/direct/direct-router.h
@@ -39,6 +39,8 @@
 
   /// Call escrowChanged() after giving rows or results to it.
   budget::Escrow &escrow();
+  /// \p Callback runs when a request waits for tokens to be drawn.
+  void onTokensWanted(std::function<void()> Callback);
   void escrowChanged();
 
   observe::Metrics &metrics();
--- a/daemons/direct/escrow-driver.h
+++ b/daemons/direct/escrow-driver.h
@@ -18,8 +18,12 @@
   EscrowDriver(net::Loop &Owner, DirectRouter &Router, Table &Rows)
       : Owner_(Owner), Router_(Router), Rows_(Rows),
         Tick_(Owner, [this] { step(); }) {
+    Router_.onTokensWanted([this] { step(); });
     Tick_.startRepeating(Interval);
   }
+  ~EscrowDriver() { Router_.onTokensWanted(nullptr); }
+  EscrowDriver(const EscrowDriver &) = delete;
+  EscrowDriver &operator=(const EscrowDriver &) = delete;
 
 private:
   /// Longest delay before a draw starts.
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -138,8 +138,11 @@
   if (!WaitingForTokens_)
     WaitingForTokens_ = Now;
   if (Waitable && Now - *WaitingForTokens_ < TokenWait &&
-      timeLeft(Now) >= TokenWait)
+      timeLeft(Now) >= TokenWait) {
+    if (Now == *WaitingForTokens_ && Shared_.OnTokensWanted_)
+      Shared_.Owner_.post(Shared_.OnTokensWanted_);
     return false;
+  }
   logReservation(Made.error(), Bound, Now);
   if (Made.error() == budget::EscrowRefusal::Spent)
     refuse(RefusalReason::BudgetSpent);
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -14,6 +14,7 @@
 #include "camphorwind/routing/retry-window.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -53,6 +54,8 @@
   /// Since when the source of the configuration has been silent.
   std::optional<base::TimePoint> SourceLostAt_;
   bool Stopping_ = false;
+  /// Called when a request waits for tokens.
+  std::function<void()> OnTokensWanted_;
 };
 
 } // namespace camphorwind::direct
--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -38,7 +38,7 @@
   /// Transactions a second that all routers' checkpoints may take together.
   double CheckpointsPerSecond_ = 100;
   /// Shortest time between two transactions.
-  base::Duration MinInterval_ = std::chrono::milliseconds(100);
+  base::Duration MinInterval_ = std::chrono::milliseconds(20);
   /// Routers that are there at least, before they have been heard of.
   std::size_t ExpectedRouters_ = 1;
   /// Pause after the table failed.
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -28,7 +28,7 @@
 constexpr double KeepShare = 1.1;
 /// Part of a budget that is kept for urgent requests at its end: they bring
 /// most for a token.
-constexpr double UrgentShare = 0.06;
+constexpr double UrgentShare = 0.03;
 /// Smaller corrections, as a part of the budget, are not worth a transaction.
 constexpr double LeastCorrection = 0.01;
 /// Time between two corrections for one account.
@@ -40,13 +40,13 @@
 /// once, and this many times its demand all the time. Higher figures serve
 /// bursts while the table is away; lower ones strand less with a router that is
 /// killed then.
-constexpr double BurstSeconds = 1;
+constexpr double BurstSeconds = 0.5;
 constexpr double CeilingFactor = 1.2;
 /// The same for an account without demand, as parts of what it holds.
-constexpr double IdleBurstShare = 0.05;
+constexpr double IdleBurstShare = 0.02;
 constexpr double IdleSeconds = 60;
 /// Tokens that may always be spent at once: a few usual requests.
-constexpr double LeastBurst = 16000;
+constexpr double LeastBurst = 6000;
 /// A router that was not heard of for this long is not counted.
 constexpr milliseconds PresenceTimeout{6000};
 /// Time between two reads of all rows, in general and while an account is
@@ -81,7 +81,6 @@
 
   /// Largest bound asked for in vain since the last grant.
   std::int64_t Wanted_ = 0;
-  std::int64_t LargestBound_ = 0;
   /// Unspent tokens in the slices of all other routers, from the last read.
   std::int64_t HeldByOthers_ = 0;
   /// Tokens that all other routers spend a second, from the last read.
@@ -248,8 +247,8 @@
     std::int64_t Rest = std::max<std::int64_t>(0, Granted - Of.used());
     auto Held = static_cast<double>(Rest);
     double Demand = demand(Of, Now);
-    double Burst = std::max({BurstSeconds * Demand, IdleBurstShare * Held, LeastBurst,
-                             2.0 * static_cast<double>(Of.LargestBound_)});
+    double Burst = std::max({BurstSeconds * Demand, IdleBurstShare * Held,
+                             LeastBurst, static_cast<double>(Of.Wanted_)});
     double Rate = std::max(CeilingFactor * Demand, Held / IdleSeconds);
     return {Of.used(), std::min(Rest, static_cast<std::int64_t>(Burst)),
             static_cast<std::int64_t>(std::ceil(Rate)), tableTime(Now)};
@@ -473,7 +472,6 @@
   double Unspent = static_cast<double>(Impl::unspent(Of) - Wanted);
   if (!Urgent && Unspent < UrgentShare * static_cast<double>(Of.Prepaid_))
     return base::failure(EscrowRefusal::KeptBack);
-  Of.LargestBound_ = std::max(Of.LargestBound_, Wanted);
   if (Wanted <= Impl_->available(Of, Now)) {
     if (Of.Used_ + Of.Held_ == 0)
       Of.FirstUseAt_ = Now;
