--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -40,8 +40,8 @@
 /// once, and this many times its demand all the time. Higher figures serve
 /// bursts while the table is away; lower ones strand less with a router that is
 /// killed then.
-constexpr double BurstSeconds = 0.5;
-constexpr double CeilingFactor = 1.2;
+constexpr double BurstSeconds = 0.4;
+constexpr double CeilingFactor = 1.05;
 /// The same for an account without demand, as parts of what it holds.
 constexpr double IdleBurstShare = 0.02;
 constexpr double IdleSeconds = 60;
