--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -44,7 +44,7 @@
 constexpr double CeilingFactor = 1.05;
 /// The same for an account without demand, as parts of what it holds.
 constexpr double IdleBurstShare = 0.02;
-constexpr double IdleSeconds = 60;
+constexpr double IdleSeconds = 400;
 /// Tokens that may always be spent at once: a few usual requests.
 constexpr double LeastBurst = 6000;
 /// A router that was not heard of for this long is not counted.
--- /dev/null
+++ b/libs/direct/test/view-test.cpp
@@ -0,0 +1,108 @@
+#include "camphorwind/direct/view.h"
+
+#include <gtest/gtest.h>
+
+#include <ostream>
+#include <string>
+
+using namespace camphorwind::direct;
+
+namespace {
+
+Route routeTo(std::string Name, std::string Prefix) {
+  Route Made;
+  Made.Name_ = std::move(Name);
+  Made.Host_ = "shop.example";
+  Made.PathPrefix_ = std::move(Prefix);
+  Made.Targets_ = {{camphorwind::base::PoolId("pool"), 1}};
+  return Made;
+}
+
+struct RouteCase {
+  std::string Name_;
+  std::string Host_;
+  std::string Path_;
+  /// Empty for none.
+  std::string Route_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const RouteCase &Value) {
+  return Out << Value.Name_;
+}
+
+class ViewRouteTest : public testing::TestWithParam<RouteCase> {};
+
+TEST_P(ViewRouteTest, FindsTheLongestPrefixOfTheHost) {
+  View Tested;
+  Tested.addRoute(routeTo("all", "/"));
+  Tested.addRoute(routeTo("tally", "/tally/"));
+  Tested.addRoute(routeTo("deep", "/tally/a/b/"));
+  Route Other = routeTo("other", "/only/");
+  Other.Host_ = "other.example";
+  Tested.addRoute(Other);
+  const Route *Found = Tested.findRoute(GetParam().Host_, GetParam().Path_);
+  EXPECT_EQ(Found ? Found->Name_ : "", GetParam().Route_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Paths, ViewRouteTest,
+    testing::Values(
+        RouteCase{"root", "shop.example", "/", "all"},
+        RouteCase{"below_root", "shop.example", "/x/y", "all"},
+        RouteCase{"directory", "shop.example", "/tally/", "tally"},
+        RouteCase{"below", "shop.example", "/tally/7", "tally"},
+        RouteCase{"without_slash", "shop.example", "/tally", "all"},
+        RouteCase{"longer_name", "shop.example", "/tallying/7", "all"},
+        RouteCase{"between", "shop.example", "/tally/a/7", "tally"},
+        RouteCase{"deepest", "shop.example", "/tally/a/b/7", "deep"},
+        RouteCase{"other_host", "other.example", "/only/7", "other"},
+        RouteCase{"no_match", "other.example", "/tally/7", ""},
+        RouteCase{"unknown_host", "none.example", "/", ""},
+        RouteCase{"no_path", "shop.example", "", ""}),
+    [](const auto &Info) { return Info.param.Name_; });
+
+TEST(ViewHolderTest, VersionsNeverFall) {
+  ViewHolder Holder;
+  auto version = [](std::uint64_t Number) {
+    auto Made = std::make_shared<View>();
+    Made->Version_ = Number;
+    return Made;
+  };
+  EXPECT_TRUE(Holder.offer(version(5)));
+  EXPECT_FALSE(Holder.offer(version(5)));
+  EXPECT_FALSE(Holder.offer(version(4)));
+  EXPECT_EQ(Holder.current()->Version_, 5u);
+  EXPECT_TRUE(Holder.offer(version(9)));
+  EXPECT_EQ(Holder.current()->Version_, 9u);
+}
+
+struct TargetCase {
+  double Draw_ = 0;
+  std::string Pool_;
+};
+
+class PickTargetTest : public testing::TestWithParam<TargetCase> {};
+
+TEST_P(PickTargetTest, FollowsTheWeights) {
+  Route From;
+  From.Targets_ = {{camphorwind::base::PoolId("a"), 90},
+                   {camphorwind::base::PoolId("b"), 10}};
+  EXPECT_EQ(pickTarget(From, GetParam().Draw_)->Pool_.str(), GetParam().Pool_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Draws, PickTargetTest,
+                         testing::Values(TargetCase{0, "a"},
+                                         TargetCase{0.89, "a"},
+                                         TargetCase{0.91, "b"},
+                                         TargetCase{0.999, "b"}));
+
+TEST(ViewAccountTest, EveryKeyFindsItsAccount) {
+  View Tested;
+  Tested.addAccount({camphorwind::base::AccountId("one"), {}, {}}, {"k1", "k2"});
+  Tested.addAccount({camphorwind::base::AccountId("two"), {}, {}}, {"k3"});
+  EXPECT_EQ(Tested.findAccount("k2")->Account_.str(), "one");
+  EXPECT_EQ(Tested.findAccount("k3")->Account_.str(), "two");
+  EXPECT_EQ(Tested.findAccount("k4"), nullptr);
+}
+
+} // namespace
--- /dev/null
+++ b/libs/net/test/origin-client-test.cpp
@@ -0,0 +1,403 @@
+#include "camphorwind/net/origin-client.h"
+
+#include "camphorwind/net/socket.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+#include <vector>
+
+using namespace camphorwind::base;
+using namespace camphorwind::net;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// How the scripted peer goes on after it has sent its bytes.
+enum class Then { Keep, Close, Reset };
+
+struct Reply {
+  std::string_view Bytes_;
+  Then Then_ = Then::Keep;
+  /// Answers as soon as the head of the request is there.
+  bool Early_ = false;
+};
+
+/// Accepts connections and answers each request with the next scripted reply.
+class ScriptedPeer {
+public:
+  ScriptedPeer(Loop &Owner, std::vector<Reply> Script)
+      : Owner_(Owner), Script_(std::move(Script)),
+        Listening_(std::move(listenOn({"127.0.0.1", 0}).value())),
+        Accepting_(Owner, [this](bool, bool) { accept(); }) {
+    Accepting_.start(Listening_.fd(), Interest::Read);
+  }
+
+  Address address() const { return localAddress(Listening_.fd()).value(); }
+  std::size_t requests() const { return Requests_; }
+  std::size_t connections() const { return Connections_.size(); }
+  /// Closes every connection at its next request, without an answer.
+  void dropNext() { DropNext_ = true; }
+  /// Closes the connections now.
+  void closeAll() {
+    for (auto &Each : Connections_) {
+      Each->Watcher_->stop();
+      Each->Socket_.close();
+    }
+  }
+
+private:
+  struct Connection {
+    Socket Socket_;
+    std::unique_ptr<FdWatcher> Watcher_;
+    std::string Input_;
+  };
+
+  void accept() {
+    auto Accepted = acceptFrom(Listening_.fd());
+    if (!Accepted)
+      return;
+    auto Made = std::make_shared<Connection>();
+    Made->Socket_ = std::move(Accepted).value();
+    Made->Watcher_ = std::make_unique<FdWatcher>(
+        Owner_, [this, Raw = Made.get()](bool, bool) { read(*Raw); });
+    Made->Watcher_->start(Made->Socket_.fd(), Interest::Read);
+    Connections_.push_back(std::move(Made));
+  }
+
+  static bool whole(const std::string &Input) {
+    std::size_t End = Input.find("\r\n\r\n");
+    if (End == std::string::npos)
+      return false;
+    constexpr std::size_t Blank = 4;
+    std::size_t Length = Input.find("Content-Length: ");
+    std::size_t Body =
+        Length == std::string::npos ? 0 : std::stoul(Input.substr(Length + 16));
+    return Input.size() >= End + Blank + Body;
+  }
+
+  void read(Connection &From) {
+    char Buffer[65536];
+    ssize_t Got = ::recv(From.Socket_.fd(), Buffer, sizeof(Buffer), 0);
+    if (Got <= 0) {
+      From.Watcher_->stop();
+      return;
+    }
+    From.Input_.append(Buffer, static_cast<std::size_t>(Got));
+    bool Early = Next_ < Script_.size() && Script_[Next_].Early_;
+    if (!whole(From.Input_) &&
+        !(Early && From.Input_.find("\r\n\r\n") != std::string::npos))
+      return;
+    From.Input_.clear();
+    ++Requests_;
+    if (DropNext_) {
+      end(From, Then::Close);
+      return;
+    }
+    if (Next_ >= Script_.size())
+      return;
+    const Reply &Now = Script_[Next_++];
+    ::send(From.Socket_.fd(), Now.Bytes_.data(), Now.Bytes_.size(),
+           MSG_NOSIGNAL);
+    end(From, Now.Then_);
+  }
+
+  static void end(Connection &Of, Then How) {
+    if (How == Then::Keep)
+      return;
+    Of.Watcher_->stop();
+    if (How == Then::Reset) {
+      linger Now{1, 0};
+      ::setsockopt(Of.Socket_.fd(), SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+    }
+    Of.Socket_.close();
+  }
+
+  Loop &Owner_;
+  std::vector<Reply> Script_;
+  std::size_t Next_ = 0;
+  std::size_t Requests_ = 0;
+  bool DropNext_ = false;
+  Socket Listening_;
+  FdWatcher Accepting_;
+  std::vector<std::shared_ptr<Connection>> Connections_;
+};
+
+/// What one call brought.
+struct Outcome {
+  std::optional<OriginError> Error_;
+  bool Whole_ = false;
+  unsigned Status_ = 0;
+  std::string Body_;
+};
+
+class OriginClientTest : public testing::Test {
+protected:
+  OriginClientTest() : Owner_(std::move(Loop::create().value())) {}
+
+  void listen(std::vector<Reply> Script, OriginClientLimits Limits = {}) {
+    Peer_ = std::make_unique<ScriptedPeer>(*Owner_, std::move(Script));
+    Client_ = std::make_unique<OriginClient>(*Owner_, Limits);
+  }
+
+  OriginRequest request(std::string Body = "") const {
+    OriginRequest Made;
+    Made.Endpoint_ = Peer_->address();
+    Made.Method_ = Body.empty() ? "GET" : "POST";
+    Made.Headers_.add("X-Id", "mine");
+    if (!Body.empty())
+      Made.Body_ = std::make_shared<const std::string>(std::move(Body));
+    return Made;
+  }
+
+  Outcome run(OriginRequest Request) {
+    Outcome Found;
+    OriginEvents Events;
+    Events.OnHead_ = [&Found](const OriginHead &Head) {
+      if (Head.Headers_.find("X-Id").value_or("mine") != "mine")
+        return HeadVerdict::Skip;
+      Found.Status_ = Head.Status_;
+      return HeadVerdict::Accept;
+    };
+    Events.OnBody_ = [&Found](std::string_view Data) {
+      Found.Body_.append(Data);
+    };
+    Events.OnEnd_ = [&](const Result<void, OriginError> &Ended) {
+      Found.Whole_ = static_cast<bool>(Ended);
+      if (!Ended)
+        Found.Error_ = Ended.error();
+      Owner_->stop();
+    };
+    Timer Guard(*Owner_, [this] { Owner_->stop(); });
+    Guard.start(5s);
+    Client_->start(std::move(Request), std::move(Events));
+    Owner_->run();
+    return Found;
+  }
+
+  /// Lets what is under way arrive.
+  void settle() {
+    Timer Pause(*Owner_, [this] { Owner_->stop(); });
+    Pause.start(30ms);
+    Owner_->run();
+  }
+
+  std::unique_ptr<Loop> Owner_;
+  std::unique_ptr<ScriptedPeer> Peer_;
+  std::unique_ptr<OriginClient> Client_;
+};
+
+struct ReplyCase {
+  std::string_view Name_;
+  Reply Reply_;
+  bool Whole_ = false;
+  std::string_view Body_;
+  /// Where the answer is not whole.
+  std::optional<OriginErrorKind> Error_;
+  /// Connections after a second call.
+  std::size_t Connections_ = 1;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ReplyCase &Value) {
+  return Out << Value.Name_;
+}
+
+class OriginClientReplyTest : public OriginClientTest,
+                              public testing::WithParamInterface<ReplyCase> {};
+
+TEST_P(OriginClientReplyTest, TellsWholeAnswersFromOthers) {
+  const ReplyCase &Case = GetParam();
+  const Reply Second{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+  listen({Case.Reply_, Second});
+  Outcome Found = run(request());
+  EXPECT_EQ(Found.Whole_, Case.Whole_);
+  EXPECT_EQ(Found.Body_, Case.Body_);
+  ASSERT_EQ(Found.Error_.has_value(), Case.Error_.has_value());
+  if (Case.Error_) {
+    EXPECT_EQ(Found.Error_->Kind_, *Case.Error_);
+    EXPECT_TRUE(Found.Error_->MayHaveReached_);
+  }
+  settle();
+  Outcome Next = run(request());
+  EXPECT_EQ(Next.Body_, "ok");
+  EXPECT_EQ(Peer_->connections(), Case.Connections_);
+  EXPECT_EQ(Peer_->requests(), 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Replies, OriginClientReplyTest,
+    testing::Values(
+        ReplyCase{"by_length",
+                  {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour"},
+                  true,
+                  "four"},
+        ReplyCase{"chunked",
+                  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "2\r\nfo\r\n2\r\nur\r\n0\r\n\r\n"},
+                  true,
+                  "four"},
+        ReplyCase{"ended_by_close",
+                  {"HTTP/1.1 200 OK\r\n\r\nfour", Then::Close},
+                  true,
+                  "four",
+                  std::nullopt,
+                  2},
+        ReplyCase{"asked_to_close",
+                  {"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                   "Content-Length: 4\r\n\r\nfour"},
+                  true,
+                  "four",
+                  std::nullopt,
+                  2},
+        ReplyCase{"after_a_foreign_answer",
+                  {"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\n"
+                   "other"
+                   "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\n"
+                   "four"},
+                  true,
+                  "four"},
+        ReplyCase{"after_an_interim_answer",
+                  {"HTTP/1.1 100 Continue\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour"},
+                  true,
+                  "four"},
+        ReplyCase{"extra_bytes",
+                  {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfourHTTP/1.1 "
+                   "200 OK\r\n"},
+                  true,
+                  "four",
+                  std::nullopt,
+                  2},
+        ReplyCase{"short_body",
+                  {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfour",
+                   Then::Close},
+                  false,
+                  "four",
+                  OriginErrorKind::Closed,
+                  2},
+        ReplyCase{"cut_inside_a_chunk",
+                  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "9\r\nfour",
+                   Then::Close},
+                  false,
+                  "four",
+                  OriginErrorKind::Closed,
+                  2},
+        ReplyCase{"without_last_chunk",
+                  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "4\r\nfour\r\n",
+                   Then::Close},
+                  false,
+                  "four",
+                  OriginErrorKind::Closed,
+                  2},
+        ReplyCase{"cut_inside_the_head",
+                  {"HTTP/1.1 200 OK\r\nContent-", Then::Close},
+                  false,
+                  "",
+                  OriginErrorKind::Closed,
+                  2},
+        ReplyCase{"closed_without_answer",
+                  {"", Then::Close},
+                  false,
+                  "",
+                  OriginErrorKind::Closed,
+                  2},
+        ReplyCase{"reset_without_answer",
+                  {"", Then::Reset},
+                  false,
+                  "",
+                  OriginErrorKind::Reset,
+                  2},
+        ReplyCase{"no_http",
+                  {"garbage garbage garbage\r\n\r\n"},
+                  false,
+                  "",
+                  OriginErrorKind::Malformed,
+                  2},
+        ReplyCase{"two_lengths",
+                  {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                   "Content-Length: 2\r\n\r\nfour"},
+                  false,
+                  "",
+                  OriginErrorKind::Malformed,
+                  2}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
+const Reply Ok{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+
+TEST_F(OriginClientTest, KeptConnectionThatEndedIsNoticedBeforeItIsUsed) {
+  listen({Ok, Ok});
+  run(request());
+  Peer_->closeAll();
+  Outcome Found = run(request("once"));
+  EXPECT_TRUE(Found.Whole_);
+  EXPECT_EQ(Peer_->connections(), 2u);
+  EXPECT_EQ(Peer_->requests(), 2u);
+}
+
+TEST_F(OriginClientTest, NeverRepeatsARequestThatMayHaveReachedThePeer) {
+  listen({Ok, Ok});
+  run(request());
+  Peer_->dropNext();
+  Outcome Found = run(request());
+  ASSERT_TRUE(Found.Error_);
+  EXPECT_TRUE(Found.Error_->MayHaveReached_);
+  EXPECT_EQ(Peer_->requests(), 2u);
+}
+
+TEST_F(OriginClientTest, RefusedConnectionProvesThatNothingWasSent) {
+  listen({});
+  OriginRequest Nowhere = request();
+  Nowhere.Endpoint_.Port_ = 1;
+  Outcome Found = run(Nowhere);
+  ASSERT_TRUE(Found.Error_);
+  EXPECT_EQ(Found.Error_->Kind_, OriginErrorKind::NotConnected);
+  EXPECT_FALSE(Found.Error_->MayHaveReached_);
+}
+
+TEST_F(OriginClientTest, LimitOfConnectionsIsToldBeforeAnythingIsSent) {
+  listen({}, {.ConnectionsPerEndpoint_ = 1});
+  Client_->start(request(), {[](const auto &) { return HeadVerdict::Accept; },
+                             [](auto) {}, [](const auto &) {}});
+  Outcome Found = run(request());
+  ASSERT_TRUE(Found.Error_);
+  EXPECT_EQ(Found.Error_->Kind_, OriginErrorKind::TooManyConnections);
+  EXPECT_FALSE(Found.Error_->MayHaveReached_);
+}
+
+TEST_F(OriginClientTest, AnswerBeforeTheBodyWasReadEndsTheConnection) {
+  Reply Early = Ok;
+  Early.Early_ = true;
+  listen({Early, Ok});
+  constexpr std::size_t MoreThanSocketsHold = 16UL * 1024 * 1024;
+  Outcome Found = run(request(std::string(MoreThanSocketsHold, 'x')));
+  EXPECT_TRUE(Found.Whole_);
+  EXPECT_EQ(Client_->counters().Connects_, 1u);
+  run(request());
+  EXPECT_EQ(Client_->counters().Connects_, 2u);
+}
+
+TEST_F(OriginClientTest, CancelledCallHasNoFurtherCallbacks) {
+  listen({Ok});
+  bool Called = false;
+  OriginCallId Id =
+      Client_->start(request(), {[&](const auto &) {
+                                   Called = true;
+                                   return HeadVerdict::Accept;
+                                 },
+                                 [&](auto) { Called = true; },
+                                 [&](const auto &) { Called = true; }});
+  Client_->cancel(Id);
+  settle();
+  EXPECT_FALSE(Called);
+}
+
+} // namespace
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -148,10 +148,10 @@
 
   /// The engine to which all routers send requests with this beginning.
   const Endpoint *homeOf(std::span<const PromptPart> Prompt) const {
-    if (Prompt.empty())
+    // The last part belongs to the request alone.
+    if (Prompt.size() < 2)
       return nullptr;
-    std::uint64_t Key =
-        Prompt.size() > 1 ? Prompt[Prompt.size() - 2].Id_ : Prompt[0].Id_;
+    std::uint64_t Key = Prompt[Prompt.size() - 2].Id_;
     const Endpoint *Best = nullptr;
     std::uint64_t BestScore = 0;
     for (const auto &[Id, Each] : Endpoints_) {
--- /dev/null
+++ b/libs/routing/test/prompt-cache-test.cpp
@@ -0,0 +1,51 @@
+#include "camphorwind/routing/prompt-cache.h"
+
+#include <gtest/gtest.h>
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace camphorwind::routing {
+namespace {
+
+struct MatchCase {
+  std::string Name_;
+  std::vector<PromptPart> Prompt_;
+  std::uint32_t Cached_ = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const MatchCase &Value) {
+  return Out << Value.Name_;
+}
+
+class PromptCacheMatchTest : public testing::TestWithParam<MatchCase> {};
+
+TEST_P(PromptCacheMatchTest, CountsLeadingPartsOnly) {
+  PromptCache Tested(1000);
+  Tested.add(std::vector<PromptPart>{{1, 100}, {2, 50}, {3, 25}});
+  EXPECT_EQ(Tested.cachedTokens(GetParam().Prompt_), GetParam().Cached_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Prompts, PromptCacheMatchTest,
+    testing::Values(MatchCase{"whole", {{1, 100}, {2, 50}, {3, 25}}, 175},
+                    MatchCase{"other_end", {{1, 100}, {2, 50}, {9, 9}}, 150},
+                    MatchCase{"other_middle", {{1, 100}, {9, 9}, {3, 25}}, 100},
+                    MatchCase{"other_start", {{9, 9}, {2, 50}, {3, 25}}, 0},
+                    MatchCase{"none", {}, 0}),
+    [](const auto &Info) { return Info.param.Name_; });
+
+TEST(PromptCacheTest, PartsUnusedForLongestGiveWay) {
+  PromptCache Tested(250);
+  Tested.add(std::vector<PromptPart>{{1, 100}});
+  Tested.add(std::vector<PromptPart>{{2, 100}});
+  Tested.add(std::vector<PromptPart>{{1, 100}});
+  Tested.add(std::vector<PromptPart>{{3, 100}});
+  EXPECT_EQ(Tested.cachedTokens(std::vector<PromptPart>{{1, 100}}), 100u);
+  EXPECT_EQ(Tested.cachedTokens(std::vector<PromptPart>{{2, 100}}), 0u);
+  EXPECT_LE(Tested.tokens(), 250u);
+}
+
+} // namespace
+} // namespace camphorwind::routing
