Close idle connections and refuse requests once the balancer has noticed a stop

Change: 3 s after SIGTERM connections without a request close within a second, and a request that still arrives is refused as not run.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -199,10 +199,11 @@
 
   void advanceStop(base::TimePoint Now) {
     base::Duration Since = Now - StoppingSince_;
-    if (Since >= Shared_.Settings_.ReadinessNotice_)
+    if (Since >= Shared_.Settings_.ReadinessNotice_) {
+      Shared_.Closed_ = true;
       Server_->stopAccepting();
-    bool Idle = Since >= Shared_.Settings_.ReadinessNotice_ &&
-                Shared_.Live_.empty() && Server_->inProgress() == 0;
+    }
+    bool Idle = Shared_.Closed_ && Shared_.Live_.empty() && Server_->inProgress() == 0;
     if (Idle)
       Shared_.Escrow_.close();
     if ((Idle && Shared_.Escrow_.closed()) ||
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -79,6 +79,8 @@
 
 std::optional<RefusalReason> ForwardedRequest::admit() {
   Facts_ = readRequest(Request_.Headers_, Shared_.Settings_.Headers_);
+  if (Shared_.Closed_)
+    return RefusalReason::ShuttingDown;
   if (!View_)
     return RefusalReason::NotReady;
   Route_ = View_->findRoute(withoutPort(Facts_.Host_), Request_.Path_);
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -54,6 +54,8 @@
   /// Since when the source of the configuration has been silent.
   std::optional<base::TimePoint> SourceLostAt_;
   bool Stopping_ = false;
+  /// New requests are refused.
+  bool Closed_ = false;
   /// Called when a request waits for tokens.
   std::function<void()> OnTokensWanted_;
 };
--- a/daemons/direct/settings.h
+++ b/daemons/direct/settings.h
@@ -22,9 +22,10 @@
   std::optional<base::Address> Metrics_;
   HeaderNames Headers_;
   routing::RetryWindowOptions Retries_;
-  /// After SIGTERM connections are accepted for this long, until the balancer
-  /// has noticed: two missed questions, a second apart.
-  std::chrono::milliseconds ReadinessNotice_{3500};
+  /// After SIGTERM requests are taken for this long, until the balancer has
+  /// noticed: two missed questions, a second apart. Later ones could not end
+  /// before the process has to.
+  std::chrono::milliseconds ReadinessNotice_{3000};
   /// Time from SIGTERM to the end of the process.
   std::chrono::milliseconds Shutdown_{7200};
 };
--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -77,7 +77,7 @@
   /// Closes every connection after its next answer; new ones are accepted.
   void closeAfterAnswers();
   /// Stops accepting connections; requests in progress go on, and their
-  /// connections close after the answer.
+  /// connections close after the answer. Idle ones close within seconds.
   void stopAccepting();
   /// Changes the largest request body, for requests that start from now on.
   void setBodyLimit(std::size_t Bytes);
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -16,6 +16,9 @@
 /// Most bytes read over the limit of a body only to answer 413.
 constexpr std::size_t MaxDiscardedBytes = 16UL * 1024 * 1024;
 
+/// Idle time after which connections are closed once none are accepted.
+constexpr unsigned IdleSecondsAfterStop = 1;
+
 /// What the next call of a connection's access handler has to do.
 enum class AnswerState {
   Waiting,   ///< The application has not answered yet.
@@ -38,6 +41,7 @@
   bool Closing_ = false;
   /// Requests whose answer is not out.
   std::unordered_set<Exchange *> Live_;
+  std::unordered_set<MHD_Connection *> Connections_;
   Timer RunTimer_;
   FdWatcher PollWatcher_;
   bool RunPosted_ = false;
@@ -371,6 +375,15 @@
 
 namespace {
 
+void onConnection(void *Context, MHD_Connection *Connection, void **,
+                  MHD_ConnectionNotificationCode Code) {
+  auto &Core = *static_cast<ServerCore *>(Context);
+  if (Code == MHD_CONNECTION_NOTIFY_STARTED)
+    Core.Connections_.insert(Connection);
+  else
+    Core.Connections_.erase(Connection);
+}
+
 /// Called with the request line; what it returns becomes the request's state.
 void *onTarget(void *Context, const char *Target, MHD_Connection *Connection) {
   auto &Core = *static_cast<ServerCore *>(Context);
@@ -451,7 +464,9 @@
       MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(Limits.IdleTimeout_.count()),
       MHD_OPTION_NOTIFY_COMPLETED, detail::onCompleted, &Core,
-      MHD_OPTION_URI_LOG_CALLBACK, detail::onTarget, &Core, MHD_OPTION_END);
+      MHD_OPTION_URI_LOG_CALLBACK, detail::onTarget, &Core,
+      MHD_OPTION_NOTIFY_CONNECTION, detail::onConnection, &Core,
+      MHD_OPTION_END);
   if (!Core.Daemon_)
     return base::failure(
         base::IoError{base::IoErrorKind::Library, "starting libmicrohttpd"});
@@ -478,6 +493,11 @@
     return;
   Core.Quiesced_ = true;
   Core.Closing_ = true;
+  // Connections with a request are suspended and do not time out.
+  for (MHD_Connection *Each : Core.Connections_)
+    MHD_set_connection_option(Each, MHD_CONNECTION_OPTION_TIMEOUT,
+                              detail::IdleSecondsAfterStop);
+  Core.scheduleRun();
   Socket Listening(MHD_quiesce_daemon(Core.Daemon_));
 }
 
