--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -1,5 +1,7 @@
 #include "camphorwind/budget/escrow.h"
 
+#include "fake-table.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -24,57 +26,10 @@
 using base::Tokens;
 using std::chrono::milliseconds;
 using namespace std::chrono_literals;
+using test::FakeTable;
 
 const base::AccountId Shop("shop");
 
-/// The table, with a steady clock of its own.
-class FakeTable {
-public:
-  base::TransactionResult apply(const base::Transaction &Change,
-                                milliseconds Now) {
-    base::TransactionResult Result;
-    Result.TableTime_ = Now;
-    bool Holds = true;
-    for (const base::RowCondition &Each : Change.Conditions_)
-      Holds = Holds && versionOf(Each.Key_) == Each.Version_;
-    if (!Holds) {
-      Result.Status_ = base::TransactionStatus::Conflict;
-      for (const base::RowCondition &Each : Change.Conditions_)
-        if (auto Found = Rows_.find(Each.Key_); Found != Rows_.end())
-          Result.Current_.push_back(Found->second);
-      return Result;
-    }
-    ++Version_;
-    for (const base::RowWrite &Each : Change.Writes_) {
-      if (Each.Value_)
-        Rows_[Each.Key_] = {Each.Key_, Version_, *Each.Value_};
-      else
-        Rows_.erase(Each.Key_);
-    }
-    Result.Status_ = base::TransactionStatus::Committed;
-    Result.Version_ = Version_;
-    return Result;
-  }
-
-  base::ReadResult scan(milliseconds Now) const {
-    base::ReadResult Result;
-    Result.Status_ = base::ReadStatus::Ok;
-    Result.TableTime_ = Now;
-    for (const auto &[Key, Row] : Rows_)
-      Result.Rows_.push_back(Row);
-    return Result;
-  }
-
-private:
-  base::RowVersion versionOf(const std::string &Key) const {
-    auto Found = Rows_.find(Key);
-    return Found == Rows_.end() ? 0 : Found->second.Version_;
-  }
-
-  std::map<std::string, base::Row> Rows_;
-  base::RowVersion Version_ = 0;
-};
-
 /// One host: a process on it at a time, with a clock that stands still while
 /// the host is suspended.
 struct Host {
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <string>
+#include <sys/socket.h>
 
 using namespace camphorwind::base;
 using namespace camphorwind::net;
@@ -180,4 +181,51 @@
   EXPECT_EQ(Got.error().Kind_, HttpCallErrorKind::NotSent);
 }
 
+struct TargetCase {
+  std::string Name_;
+  std::string Target_;
+};
+
+class HttpServerTargetTest : public HttpServerTest,
+                             public testing::WithParamInterface<TargetCase> {};
+
+TEST_P(HttpServerTargetTest, IsKeptAsSent) {
+  serve([](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
+    Exchange->respond({200, {}, Request.Target_});
+  });
+  auto Got = fetch(call(GetParam().Target_));
+  ASSERT_TRUE(Got);
+  EXPECT_EQ(Got.value().Body_, GetParam().Target_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Targets, HttpServerTargetTest,
+    testing::Values(TargetCase{"plain", "/a/b"},
+                    TargetCase{"escaped", "/a%2Fb%20c"},
+                    TargetCase{"query", "/a?x=%20y&x=2&z"},
+                    TargetCase{"empty_query", "/a?"}),
+    [](const auto &Info) { return Info.param.Name_; });
+
+TEST_F(HttpServerTest, IdleConnectionsCloseSoonAfterTheStop) {
+  serve([](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
+    Exchange->respond({200, {}, "ok"});
+  });
+  Socket Idle = std::move(startConnect(Server_->address()).value());
+  bool Closed = false;
+  FdWatcher Watcher(*Owner_, [&](bool Readable, bool) {
+    char Byte = 0;
+    Closed = Readable && ::recv(Idle.fd(), &Byte, 1, 0) == 0;
+    Owner_->stop();
+  });
+  Timer Accepted(*Owner_, [&] {
+    Watcher.start(Idle.fd(), Interest::Read);
+    Server_->stopAccepting();
+  });
+  Accepted.start(std::chrono::milliseconds(50));
+  Timer Limit(*Owner_, [this] { Owner_->stop(); });
+  Limit.start(std::chrono::seconds(5));
+  Owner_->run();
+  EXPECT_TRUE(Closed);
+}
+
 } // namespace
--- a/libs/observe/include/camphorwind/observe/log.h
+++ b/libs/observe/include/camphorwind/observe/log.h
@@ -7,8 +7,9 @@
 #include <string_view>
 #include <variant>
 
-/// Log lines as JSON objects on standard error, by spdlog. Fields name ids and
-/// numbers; keys and prompts are never logged.
+/// Log lines as JSON objects on standard output, by spdlog. Fields name ids and
+/// numbers; keys and prompts are never logged. Writing never blocks: lines that
+/// the reader does not take, and lines beyond a rate, are left out and counted.
 namespace camphorwind::observe {
 
 enum class LogLevel { Debug, Info, Warning, Error };
@@ -33,8 +34,19 @@
   LogField(std::string_view Name, bool Value) : Name_(Name), Value_(Value) {}
 };
 
+/// Lines a second that are written in the long run, and at once. Warnings and
+/// errors have the same amount of their own.
+struct LogRate {
+  double PerSecond_ = 400;
+  double Burst_ = 2000;
+};
+
 /// Starts logging; \p Process names the program in every line.
-void startLog(std::string_view Process, LogLevel Least);
+void startLog(std::string_view Process, LogLevel Least, LogRate Rate = {});
+
+/// Lines left out since the start. The next line that is written after some
+/// were left out is preceded by one that says how many.
+std::uint64_t droppedLogLines();
 
 /// Writes one line: time, level, process, \p Event and the fields.
 void log(LogLevel Level, std::string_view Event,
