Let ceilings follow the variation of requests, and leave idle routers little

The ceilings of small accounts had no room for requests that come unevenly, and idle routers held 12% of the largest account. Change: a burst covers what independent requests vary by over an outage; all idle routers together are credited with the budget over 1,500 s.

--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -33,15 +33,18 @@
 constexpr double LeastCorrection = 0.01;
 /// Time between two corrections for one account.
 constexpr milliseconds GrantInterval{1000};
-/// Demand that a router without requests is credited with: the budget over
-/// this time.
-constexpr double IdleDemandSeconds = 2000;
-/// Between checkpoints a router may spend this many seconds of its demand at
-/// once, and this many times its demand all the time. Higher figures serve
-/// bursts while the table is away; lower ones strand less with a router that is
-/// killed then.
-constexpr double BurstSeconds = 0.4;
-constexpr double CeilingFactor = 1.05;
+/// Demand that all routers without requests are credited with together: the
+/// budget over this time.
+constexpr double IdleDemandSeconds = 1500;
+/// Between checkpoints a router may spend this many times its demand all the
+/// time, and at once what requests that arrive at random vary by over a table
+/// outage, times the second factor. Higher figures refuse less while the table
+/// is away; lower ones strand less with a router that is killed then.
+constexpr double CeilingFactor = 1.1;
+constexpr double VariationFactor = 1.2;
+constexpr std::chrono::duration<double> UsualOutage{9.0};
+/// Weight of one request in the mean size of requests.
+constexpr double SizeWeight = 0.1;
 /// The same for an account without demand, as parts of what it holds.
 constexpr double IdleBurstShare = 0.02;
 constexpr double IdleSeconds = 400;
@@ -85,6 +88,9 @@
   std::int64_t HeldByOthers_ = 0;
   /// Tokens that all other routers spend a second, from the last read.
   double DemandOfOthers_ = 0;
+  /// Means of the size of reservations and of its square.
+  double Size_ = 0;
+  double SquaredSize_ = 0;
   /// Tokens spent a second, smoothed.
   double Demand_ = 0;
   base::TimePoint DemandAt_{};
@@ -177,7 +183,8 @@
 
   /// This router's part, by demand, of all that is unspent.
   double share(const AccountState &Of, base::TimePoint Now) const {
-    double Idle = static_cast<double>(Of.Prepaid_) / IdleDemandSeconds;
+    double Idle = static_cast<double>(Of.Prepaid_) /
+                  (IdleDemandSeconds * static_cast<double>(Routers_));
     double Own = static_cast<double>(publishedDemand(Of, Now)) + Idle;
     double All = Own + Of.DemandOfOthers_ +
                  Idle * static_cast<double>(Routers_ - 1);
@@ -242,13 +249,27 @@
     Of.DemandAt_ = Now;
   }
 
+  /// Standard deviation of what independent requests spend in an outage.
+  static double variation(const AccountState &Of, double Demand) {
+    if (Of.Size_ <= 0)
+      return 0;
+    return std::sqrt(Demand * UsualOutage.count() * Of.SquaredSize_ / Of.Size_);
+  }
+
+  static void noteSize(AccountState &Of, std::int64_t Tokens) {
+    auto Size = static_cast<double>(Tokens);
+    Of.Size_ += SizeWeight * (Size - Of.Size_);
+    Of.SquaredSize_ += SizeWeight * (Size * Size - Of.SquaredSize_);
+  }
+
   Checkpoint nextCheckpoint(const AccountState &Of, std::int64_t Granted,
                             base::TimePoint Now) const {
     std::int64_t Rest = std::max<std::int64_t>(0, Granted - Of.used());
     auto Held = static_cast<double>(Rest);
     double Demand = demand(Of, Now);
-    double Burst = std::max({BurstSeconds * Demand, IdleBurstShare * Held,
-                             LeastBurst, static_cast<double>(Of.Wanted_)});
+    double Burst = std::max({VariationFactor * variation(Of, Demand),
+                             IdleBurstShare * Held, LeastBurst,
+                             static_cast<double>(Of.Wanted_)});
     double Rate = std::max(CeilingFactor * Demand, Held / IdleSeconds);
     return {Of.used(), std::min(Rest, static_cast<std::int64_t>(Burst)),
             static_cast<std::int64_t>(std::ceil(Rate)), tableTime(Now)};
@@ -476,6 +497,7 @@
     if (Of.Used_ + Of.Held_ == 0)
       Of.FirstUseAt_ = Now;
     Of.Held_ += Wanted;
+    Impl::noteSize(Of, Wanted);
     Impl::noteDemand(Of, Wanted, Now);
     return base::success();
   }
