--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -50,16 +50,16 @@
 
   void handle(net::HttpRequest Request,
               const std::shared_ptr<net::HttpExchange> &Out) {
-    auto Taken = std::make_shared<ForwardedRequest>(Shared_, std::move(Request),
-                                                    Out);
+    auto Taken =
+        std::make_shared<ForwardedRequest>(Shared_, std::move(Request), Out);
     Taken->start();
   }
 
   void answerQuestion(const net::HttpRequest &Request,
                       const std::shared_ptr<net::HttpExchange> &Out) {
     if (Request.Path_ == "/metrics")
-      Out->respond({200, {{"Content-Type", "text/plain"}},
-                    Shared_.Metrics_.text()});
+      Out->respond(
+          {200, {{"Content-Type", "text/plain"}}, Shared_.Metrics_.text()});
     else if (Request.Path_ == "/ready")
       Out->respond({ready() ? 200U : 503U, {}, ""});
     else
@@ -203,7 +203,8 @@
       Shared_.Closed_ = true;
       Server_->stopAccepting();
     }
-    bool Idle = Shared_.Closed_ && Shared_.Live_.empty() && Server_->inProgress() == 0;
+    bool Idle =
+        Shared_.Closed_ && Shared_.Live_.empty() && Server_->inProgress() == 0;
     if (Idle)
       Shared_.Escrow_.close();
     if ((Idle && Shared_.Escrow_.closed()) ||
--- a/daemons/direct/escrow-driver.h
+++ b/daemons/direct/escrow-driver.h
@@ -35,9 +35,8 @@
     base::TimePoint Now = Owner_.now();
     if (!Reading_ && Now >= ReadNotBefore_ && Router_.escrow().wantsRows(Now)) {
       Reading_ = true;
-      Rows_.scan("", [this, Now](const base::ReadResult &Read) {
-        onRows(Read, Now);
-      });
+      Rows_.scan(
+          "", [this, Now](const base::ReadResult &Read) { onRows(Read, Now); });
     }
     if (auto Change = Router_.escrow().nextTransaction(Now))
       Rows_.transact(std::move(*Change),
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -56,8 +56,7 @@
 
 } // namespace
 
-ForwardedRequest::ForwardedRequest(Forwarding &Shared,
-                                   net::HttpRequest Request,
+ForwardedRequest::ForwardedRequest(Forwarding &Shared, net::HttpRequest Request,
                                    std::shared_ptr<net::HttpExchange> Out)
     : Shared_(Shared), Request_(std::move(Request)), Out_(std::move(Out)),
       View_(Shared.View_.current()), ArrivedAt_(Shared.Owner_.now()) {}
@@ -156,8 +155,7 @@
 void ForwardedRequest::logReservation(budget::EscrowRefusal Why,
                                       base::Tokens Bound,
                                       base::TimePoint Now) const {
-  budget::EscrowStatus Status =
-      Shared_.Escrow_.status(Account_->Account_, Now);
+  budget::EscrowStatus Status = Shared_.Escrow_.status(Account_->Account_, Now);
   observe::log(LogLevel::Info, "reservation_refused",
                {{"request", Facts_.AttemptId_},
                 {"account", Account_->Account_.str()},
@@ -172,7 +170,7 @@
 }
 
 void ForwardedRequest::retryReservation() {
-  if (Finished_ || !WaitingForTokens_)
+  if (Finished_ || !Route_ || !WaitingForTokens_)
     return;
   if (reserve())
     place();
@@ -217,9 +215,8 @@
   Facts.Instance_ = To.Endpoint_.str();
   if (Account_)
     Facts.Account_ = Account_->Account_.str();
-  int Priority =
-      Account_ ? Account_->Priority_.value_or(Route_->Priority_)
-               : Route_->Priority_;
+  int Priority = Account_ ? Account_->Priority_.value_or(Route_->Priority_)
+                          : Route_->Priority_;
   if (Route_->Prompted_)
     Facts.Urgency_ = std::clamp(Priority, 0, LeastUrgent);
   Facts.LastEventId_ = Events_.lastId();
@@ -272,18 +269,17 @@
   };
   Attempt_.Call_ =
       Shared_.Origins_.start(std::move(Outgoing), std::move(Events));
-  observe::log(
-      LogLevel::Info, "attempt_sent",
-      {{"request", Facts_.AttemptId_},
-       {"route", Route_->Name_},
-       {"endpoint", Where.Endpoint_.str()},
-       {"send", Sends_},
-       {"version", View_->Version_},
-       {"expected_ms", toMilliseconds(Where.ExpectedFirst_)},
-       {"cached_tokens", Where.CachedTokens_},
-       {"prompt_tokens", Facts_.PromptTokens_.count()},
-       {"fetch_from", Where.FetchFrom_ ? Where.FetchFrom_->str() : ""},
-       {"left_ms", toMilliseconds(Deadline_ - Now)}});
+  observe::log(LogLevel::Info, "attempt_sent",
+               {{"request", Facts_.AttemptId_},
+                {"route", Route_->Name_},
+                {"endpoint", Where.Endpoint_.str()},
+                {"send", Sends_},
+                {"version", View_->Version_},
+                {"expected_ms", toMilliseconds(Where.ExpectedFirst_)},
+                {"cached_tokens", Where.CachedTokens_},
+                {"prompt_tokens", Facts_.PromptTokens_.count()},
+                {"fetch_from", Where.FetchFrom_ ? Where.FetchFrom_->str() : ""},
+                {"left_ms", toMilliseconds(Deadline_ - Now)}});
 }
 
 net::HeadVerdict ForwardedRequest::onHead(const net::OriginHead &Head) {
@@ -312,8 +308,8 @@
   Attempt_.Signed_ = Facts.Signed_;
   Attempt_.NotExecuted_ = Facts.NotExecuted_ || Head.Status_ == Misdirected;
   Attempt_.Headers_ = makeAnswerHeaders(Head.Headers_);
-  Attempt_.Streaming_ = Success && Facts.Signed_ &&
-                        Route_->Kind_ == RequestKind::Stream;
+  Attempt_.Streaming_ =
+      Success && Facts.Signed_ && Route_->Kind_ == RequestKind::Stream;
   return net::HeadVerdict::Accept;
 }
 
@@ -350,7 +346,8 @@
   });
 }
 
-void ForwardedRequest::onEnd(const base::Result<void, net::OriginError> &Result) {
+void ForwardedRequest::onEnd(
+    const base::Result<void, net::OriginError> &Result) {
   if (Finished_)
     return;
   Sending_ = false;
@@ -362,14 +359,14 @@
     return;
   }
   const net::OriginError &Error = Result.error();
-  observe::log(LogLevel::Warning, "attempt_broken",
-               {{"request", Facts_.AttemptId_},
-                {"endpoint", Placed_.Endpoint_.str()},
-                {"kind", toString(Error.Kind_)},
-                {"may_have_reached", Error.MayHaveReached_},
-                {"detail", Error.Detail_},
-                {"after_ms",
-                 toMilliseconds(Shared_.Owner_.now() - Attempt_.SentAt_)}});
+  observe::log(
+      LogLevel::Warning, "attempt_broken",
+      {{"request", Facts_.AttemptId_},
+       {"endpoint", Placed_.Endpoint_.str()},
+       {"kind", toString(Error.Kind_)},
+       {"may_have_reached", Error.MayHaveReached_},
+       {"detail", Error.Detail_},
+       {"after_ms", toMilliseconds(Shared_.Owner_.now() - Attempt_.SentAt_)}});
   if (!Error.MayHaveReached_) {
     bool Blame = Error.Kind_ != net::OriginErrorKind::TooManyConnections;
     closeAttempt(Blame ? routing::FailureKind::LinkLost
@@ -398,8 +395,7 @@
 }
 
 void ForwardedRequest::onStreamWhole() {
-  Shared_.pool(Pool_).Choice_.finished(Attempt_.Pooled_,
-                                       Shared_.Owner_.now());
+  Shared_.pool(Pool_).Choice_.finished(Attempt_.Pooled_, Shared_.Owner_.now());
   ++Runs_;
   std::string Rest = Events_.finish();
   if (!StreamStarted_) {
@@ -428,8 +424,7 @@
     onBroken("error_answer", routing::FailureKind::Failed);
     return;
   }
-  Shared_.pool(Pool_).Choice_.finished(Attempt_.Pooled_,
-                                       Shared_.Owner_.now());
+  Shared_.pool(Pool_).Choice_.finished(Attempt_.Pooled_, Shared_.Owner_.now());
   ++Runs_;
   FirstByteAt_ = Shared_.Owner_.now();
   passOn(Attempt_.Status_, Attempt_.Headers_, std::move(Attempt_.Body_));
@@ -444,7 +439,8 @@
 
 void ForwardedRequest::onNotRun(std::string_view Why, bool Arrived) {
   Arrivals_ += Arrived ? 1 : 0;
-  bool Allowed = Runs_ == 0 || (Route_->repeatable() && Runs_ < Route_->Attempts_);
+  bool Allowed =
+      Runs_ == 0 || (Route_->repeatable() && Runs_ < Route_->Attempts_);
   if (Allowed && takeRetry(Arrivals_ > 0)) {
     Shared_.Metrics_.count("direct_retries", "reason", std::string(Why));
     place();
@@ -486,9 +482,9 @@
 }
 
 void ForwardedRequest::tick(base::TimePoint Now) {
-  if (Finished_)
+  if (Finished_ || !Route_)
     return;
-  if (Now >= Deadline_ && Route_) {
+  if (Now >= Deadline_) {
     if (Sending_) {
       Shared_.Origins_.cancel(Attempt_.Call_);
       Sending_ = false;
@@ -588,8 +584,7 @@
   auto PerEvent = PoolTraits_ ? PoolTraits_->TokensPerEvent_ : 1;
   base::Tokens Delivered(
       static_cast<std::int64_t>(Events_.events() * PerEvent));
-  return Facts_.PromptTokens_ +
-         std::min(Delivered, Facts_.MaxOutputTokens_);
+  return Facts_.PromptTokens_ + std::min(Delivered, Facts_.MaxOutputTokens_);
 }
 
 void ForwardedRequest::finish(std::string_view Outcome, unsigned Status) {
@@ -604,8 +599,7 @@
       LogLevel::Info, "request_ended",
       {{"request", Facts_.AttemptId_},
        {"route", Route_ ? std::string_view(Route_->Name_) : ""},
-       {"account",
-        Account_ ? std::string_view(Account_->Account_.str()) : ""},
+       {"account", Account_ ? std::string_view(Account_->Account_.str()) : ""},
        {"version", View_ ? View_->Version_ : 0},
        {"outcome", Outcome},
        {"status", Status},
@@ -617,9 +611,8 @@
         FirstByteAt_ ? toMilliseconds(*FirstByteAt_ - ArrivedAt_) : -1},
        {"total_ms", toMilliseconds(Now - ArrivedAt_)},
        {"left_ms", Route_ ? toMilliseconds(Deadline_ - Now) : 0}});
-  Shared_.Owner_.post([Self = shared_from_this()] {
-    Self->Shared_.Live_.erase(Self);
-  });
+  Shared_.Owner_.post(
+      [Self = shared_from_this()] { Self->Shared_.Live_.erase(Self); });
 }
 
 } // namespace camphorwind::direct
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -48,16 +48,16 @@
 public:
   Endpoint(net::Loop &Owner, Script Deeds)
       : Owner_(Owner), Deeds_(std::move(Deeds)) {
-    Server_ = std::move(
-        net::HttpServer::create(
-            Owner, {"127.0.0.1", 0}, {},
-            [this](net::HttpRequest Request,
-                   const std::shared_ptr<net::HttpExchange> &Out) {
-              Requests_.push_back(std::move(Request));
-              Out->onHangup([this] { ++HangUps_; });
-              act(Out);
-            })
-            .value());
+    Server_ =
+        std::move(net::HttpServer::create(
+                      Owner, {"127.0.0.1", 0}, {},
+                      [this](net::HttpRequest Request,
+                             const std::shared_ptr<net::HttpExchange> &Out) {
+                        Requests_.push_back(std::move(Request));
+                        Out->onHangup([this] { ++HangUps_; });
+                        act(Out);
+                      })
+                      .value());
   }
 
   const base::Address &address() const { return Server_->address(); }
@@ -105,16 +105,15 @@
 
   void stream(const std::shared_ptr<net::HttpExchange> &Out, bool Cut) {
     Out->startStream(200, head());
-    std::string From(Requests_.back().Headers_.find("Last-Event-ID")
-                         .value_or("0"));
+    std::string From(
+        Requests_.back().Headers_.find("Last-Event-ID").value_or("0"));
     int Next = std::stoi(From) + 1;
     constexpr int Last = 3;
     if (Cut) {
       Out->write(event(Next) + event(Next + 1).substr(0, 7));
       Held_.push_back(Out);
-      Cutter_ = std::make_unique<net::Timer>(Owner_, [Out] {
-        Out->abortStream();
-      });
+      Cutter_ =
+          std::make_unique<net::Timer>(Owner_, [Out] { Out->abortStream(); });
       Cutter_->start(20ms);
       return;
     }
@@ -148,8 +147,7 @@
 class DirectRouterTest : public testing::Test {
 protected:
   DirectRouterTest()
-      : Owner_(std::move(net::Loop::create().value())),
-        Caller_(*Owner_, {}) {
+      : Owner_(std::move(net::Loop::create().value())), Caller_(*Owner_, {}) {
     budget::EscrowSettings Budgets;
     Budgets.Router_ = base::RouterId("r");
     Budgets.Incarnation_ = base::Incarnation("r.1");
@@ -213,8 +211,7 @@
     Endpoints_.push_back(std::make_unique<Endpoint>(*Owner_, Script_));
     Endpoint &Added = *Endpoints_.back();
     ListedEndpoint Entry;
-    Entry.Endpoint_ =
-        base::EndpointId("e" + std::to_string(Endpoints_.size()));
+    Entry.Endpoint_ = base::EndpointId("e" + std::to_string(Endpoints_.size()));
     Entry.Pool_ = base::PoolId("pool");
     Entry.Address_ = Added.address();
     Entry.Domain_ = base::FailureDomainId("here");
@@ -338,8 +335,8 @@
                     Deed::NotExecuted, Deed::Answer, 200, "whole", 2},
         AttemptCase{"call_for_another_instance", Once, false,
                     Deed::OtherInstance, Deed::Answer, 200, "whole", 2},
-        AttemptCase{"call_that_nobody_executed", Once, false,
-                    Deed::NotExecuted, Deed::NotExecuted, 503, "", 2},
+        AttemptCase{"call_that_nobody_executed", Once, false, Deed::NotExecuted,
+                    Deed::NotExecuted, 503, "", 2},
         AttemptCase{"call_that_may_have_run_after_all", Once, false,
                     Deed::NotExecuted, Deed::Cut, 502, "", 2},
         AttemptCase{"error_of_an_idempotent_call", Idempotent, false,
@@ -358,8 +355,8 @@
         AttemptCase{"cut_stream_that_resumes", Stream, true, Deed::StreamCut,
                     Deed::StreamWhole, 200, AllEvents, 2},
         AttemptCase{"stream_cut_twice", Stream, true, Deed::StreamCut,
-                    Deed::StreamCut, 200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n",
-                    2, false},
+                    Deed::StreamCut, 200,
+                    "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", 2, false},
         AttemptCase{"stream_cut_before_its_first_event", Stream, true,
                     Deed::Cut, Deed::StreamWhole, 200, AllEvents, 2},
         AttemptCase{"stream_cut_early_that_cannot_resume", Stream, false,
@@ -430,21 +427,18 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Requests, DirectRefusalTest,
-    testing::Values(RefusalCase{.Name_ = "proper", .Status_ = 200},
-                    RefusalCase{.Name_ = "unknown_host",
-                                .Host_ = "other.example",
-                                .Status_ = 404},
-                    RefusalCase{.Name_ = "unknown_path",
-                                .Target_ = "/none/7",
-                                .Status_ = 404},
-                    RefusalCase{.Name_ = "unknown_key",
-                                .Key_ = "Bearer other",
-                                .Status_ = 401},
-                    RefusalCase{
-                        .Name_ = "no_key", .Key_ = "", .Status_ = 401},
-                    RefusalCase{.Name_ = "more_than_prepaid",
-                                .Bounds_ = "100001,10",
-                                .Status_ = 402}),
+    testing::Values(
+        RefusalCase{.Name_ = "proper", .Status_ = 200},
+        RefusalCase{
+            .Name_ = "unknown_host", .Host_ = "other.example", .Status_ = 404},
+        RefusalCase{
+            .Name_ = "unknown_path", .Target_ = "/none/7", .Status_ = 404},
+        RefusalCase{
+            .Name_ = "unknown_key", .Key_ = "Bearer other", .Status_ = 401},
+        RefusalCase{.Name_ = "no_key", .Key_ = "", .Status_ = 401},
+        RefusalCase{.Name_ = "more_than_prepaid",
+                    .Bounds_ = "100001,10",
+                    .Status_ = 402}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
 TEST_F(DirectRouterTest, WithoutConfigurationNothingIsDenied) {
@@ -463,9 +457,9 @@
 TEST_F(DirectRouterTest, CallerThatHangsUpStopsTheEndpoint) {
   configure(RequestKind::Idempotent);
   Endpoint &One = addEndpoint({Deed::Silence});
-  net::OriginCallId Id =
-      Caller_.start(call(), {[](const auto &) { return net::HeadVerdict::Accept; },
-                             [](auto) {}, [](const auto &) {}});
+  net::OriginCallId Id = Caller_.start(
+      call(), {[](const auto &) { return net::HeadVerdict::Accept; },
+               [](auto) {}, [](const auto &) {}});
   wait(100ms);
   EXPECT_EQ(One.Requests_.size(), 1u);
   Caller_.cancel(Id);
@@ -482,16 +476,16 @@
 TEST_F(DirectRouterTest, StoppingRouterIsNotReadyAndRefusesLateRequests) {
   configure(RequestKind::NonIdempotent);
   addEndpoint();
-  auto ready = [this] {
+  auto Ready = [this] {
     net::OriginRequest Question;
     Question.Endpoint_ = Readiness_;
     Question.Target_ = "/ready";
     return fetch(Question).Status_;
   };
-  EXPECT_EQ(ready(), 200u);
+  EXPECT_EQ(Ready(), 200u);
   bool Stopped = false;
   Router_->stop([&Stopped] { Stopped = true; });
-  EXPECT_EQ(ready(), 503u);
+  EXPECT_EQ(Ready(), 503u);
   Got Found = fetch(call());
   EXPECT_EQ(Found.Status_, 200u);
   EXPECT_EQ(Found.Headers_.find("Connection"), "close");
--- a/daemons/router/api.cpp
+++ b/daemons/router/api.cpp
@@ -16,7 +16,6 @@
 
 using daemons::errorAnswer;
 using daemons::errorBody;
-using daemons::httpStatusOf;
 
 namespace {
 
--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -84,11 +84,10 @@
   if (!Granted || !Used || !Burst || !Rate || !At ||
       Incarnation == Parsed->end() || !Incarnation->is_string())
     return std::nullopt;
-  return SliceRow{
-      Incarnation->get<std::string>(),
-      *Granted,
-      {*Used, *Burst, *Rate, std::chrono::milliseconds(*At)},
-      number(*Parsed, "demand").value_or(0)};
+  return SliceRow{Incarnation->get<std::string>(),
+                  *Granted,
+                  {*Used, *Burst, *Rate, std::chrono::milliseconds(*At)},
+                  number(*Parsed, "demand").value_or(0)};
 }
 
 std::string encodeTotal(std::int64_t Granted) {
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -144,9 +144,8 @@
   void noteStart(std::optional<milliseconds> Stated, base::TimePoint AskedAt) {
     if (!Stated)
       return;
-    milliseconds Bound =
-        *Stated - std::chrono::duration_cast<milliseconds>(
-                      AskedAt - Settings_.StartedAt_);
+    milliseconds Bound = *Stated - std::chrono::duration_cast<milliseconds>(
+                                       AskedAt - Settings_.StartedAt_);
     StartedBy_ = StartedBy_ ? std::min(*StartedBy_, Bound) : Bound;
   }
 
@@ -186,8 +185,8 @@
     double Idle = static_cast<double>(Of.Prepaid_) /
                   (IdleDemandSeconds * static_cast<double>(Routers_));
     double Own = static_cast<double>(publishedDemand(Of, Now)) + Idle;
-    double All = Own + Of.DemandOfOthers_ +
-                 Idle * static_cast<double>(Routers_ - 1);
+    double All =
+        Own + Of.DemandOfOthers_ + Idle * static_cast<double>(Routers_ - 1);
     return HeldShare * static_cast<double>(unspent(Of)) * Own / All;
   }
 
@@ -226,9 +225,9 @@
   /// Demand as the other routers see it; what was asked for in vain counts.
   static std::int64_t publishedDemand(const AccountState &Of,
                                       base::TimePoint Now) {
-    return static_cast<std::int64_t>(
-        demand(Of, Now) +
-        static_cast<double>(Of.Wanted_) / DemandAverage.count());
+    return static_cast<std::int64_t>(demand(Of, Now) +
+                                     static_cast<double>(Of.Wanted_) /
+                                         DemandAverage.count());
   }
 
   /// Tokens a second, smoothed.
@@ -294,8 +293,7 @@
     if (!Of.Confirmed_)
       return Rest > 0;
     // A request waits that only the ceiling holds up.
-    if (Of.Wanted_ > 0 && Of.Wanted_ <= Rest &&
-        Of.Wanted_ > available(Of, Now))
+    if (Of.Wanted_ > 0 && Of.Wanted_ <= Rest && Of.Wanted_ > available(Of, Now))
       return true;
     return (Of.used() != Of.Confirmed_->Used_ || Of.Wanted_ > 0) &&
            Now - Of.CheckpointAt_ >= checkpointInterval();
@@ -342,9 +340,8 @@
     Change.Conditions_.push_back({Key, Of.SliceVersion_});
     Change.Writes_.push_back(
         {std::move(Key),
-         detail::encodeSlice(
-             {Settings_.Incarnation_.str(), Granted, *Of.Pending_,
-              publishedDemand(Of, Now)})});
+         detail::encodeSlice({Settings_.Incarnation_.str(), Granted,
+                              *Of.Pending_, publishedDemand(Of, Now)})});
     if (Grant != 0) {
       std::string Total = detail::totalKey(Account);
       Change.Conditions_.push_back({Total, Of.TotalVersion_});
@@ -390,8 +387,8 @@
 
   void adopt(const base::Row &Found) {
     if (Found.Key_.starts_with(TotalPrefix)) {
-      AccountState &Of = Accounts_[base::AccountId(
-          Found.Key_.substr(TotalPrefix.size()))];
+      AccountState &Of =
+          Accounts_[base::AccountId(Found.Key_.substr(TotalPrefix.size()))];
       if (Found.Version_ <= Of.TotalVersion_)
         return;
       Of.TotalVersion_ = Found.Version_;
@@ -424,8 +421,8 @@
     // ceiling allowed counts as spent. Nothing may be spent before a checkpoint
     // of this incarnation stands.
     Of.Inherited_ =
-        std::min(Row->Granted_, Row->Checkpoint_.ceiling(
-                                    StartedBy_.value_or(TableTime_)));
+        std::min(Row->Granted_,
+                 Row->Checkpoint_.ceiling(StartedBy_.value_or(TableTime_)));
     Of.Confirmed_.reset();
   }
 
@@ -551,7 +548,8 @@
       auto At = detail::decodePresence(Each.Value_);
       if (At && Time - *At < PresenceTimeout)
         ++Routers;
-      Listed = Listed || Each.Key_ == detail::routerKey(Impl_->Settings_.Router_);
+      Listed =
+          Listed || Each.Key_ == detail::routerKey(Impl_->Settings_.Router_);
       continue;
     }
     auto Name = detail::sliceNameFromKey(Each.Key_);
@@ -564,8 +562,8 @@
     if (!Impl_->Running_ && !Impl_->Doubtful_)
       Impl_->adopt(Each);
   }
-  Impl_->Routers_ = std::max(Impl_->Settings_.ExpectedRouters_,
-                             Routers + (Listed ? 0 : 1));
+  Impl_->Routers_ =
+      std::max(Impl_->Settings_.ExpectedRouters_, Routers + (Listed ? 0 : 1));
   Impl_->RowsAt_ = Now;
   Impl_->RowsSeen_ = true;
   Impl_->Loaded_ = true;
@@ -622,11 +620,11 @@
 bool Escrow::closed() const {
   if (!Impl_->Loaded_)
     return true;
-  return std::all_of(
-      Impl_->Accounts_.begin(), Impl_->Accounts_.end(), [](const auto &Each) {
-        const AccountState &Of = Each.second;
-        return Of.Granted_ <= Of.used() && !Of.Pending_;
-      });
+  return std::all_of(Impl_->Accounts_.begin(), Impl_->Accounts_.end(),
+                     [](const auto &Each) {
+                       const AccountState &Of = Each.second;
+                       return Of.Granted_ <= Of.used() && !Of.Pending_;
+                     });
 }
 
 bool Escrow::loaded() const { return Impl_->Loaded_; }
@@ -641,8 +639,7 @@
   const AccountState &Of = Found->second;
   return {base::Tokens(Of.Prepaid_), base::Tokens(Of.GrantedToAll_),
           base::Tokens(Of.Granted_), base::Tokens(Of.Inherited_ + Of.Used_),
-          base::Tokens(Of.Held_),
-          base::Tokens(Impl_->available(Of, Now))};
+          base::Tokens(Of.Held_),    base::Tokens(Impl_->available(Of, Now))};
 }
 
 } // namespace camphorwind::budget
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -58,8 +58,8 @@
   void start(Host &On) {
     EscrowSettings Settings;
     Settings.Router_ = base::RouterId(On.Name_);
-    Settings.Incarnation_ = base::Incarnation(
-        On.Name_ + "." + std::to_string(++On.Process_));
+    Settings.Incarnation_ =
+        base::Incarnation(On.Name_ + "." + std::to_string(++On.Process_));
     Settings.StartedAt_ = On.Clock_;
     Settings.ExpectedRouters_ = Hosts_.size();
     On.Escrow_ = std::move(Escrow::create(Settings)).value();
@@ -234,10 +234,10 @@
   auto Prepaid = *rc::gen::inRange<std::int64_t>(5'000, 200'000);
   World Tested(Prepaid, 3);
   Tested.heal(200ms);
-  auto Steps =
-      *rc::gen::resize(400, rc::gen::container<std::vector<std::tuple<int, int, int>>>(
-          rc::gen::tuple(rc::gen::inRange(0, 18), rc::gen::inRange(0, 3),
-                         rc::gen::inRange(0, 1000))));
+  auto Steps = *rc::gen::resize(
+      400, rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+               rc::gen::tuple(rc::gen::inRange(0, 18), rc::gen::inRange(0, 3),
+                              rc::gen::inRange(0, 1000))));
   for (auto [Action, Where, Amount] : Steps) {
     step(Tested, Action, static_cast<std::size_t>(Where), Amount);
     RC_ASSERT(Tested.exposed() <= Prepaid);
@@ -296,7 +296,7 @@
   constexpr std::int64_t Budget = 4'000'000;
   World Tested(Budget, 4);
   Tested.heal(1s);
-  auto spend = [&](std::chrono::milliseconds For, bool Healthy) {
+  auto Spend = [&](std::chrono::milliseconds For, bool Healthy) {
     constexpr auto Step = 100ms;
     for (auto Past = 0ms; Past < For; Past += Step) {
       for (std::size_t Index = 0; Index < 4; ++Index) {
@@ -309,8 +309,8 @@
         Tested.advance(Step);
     }
   };
-  spend(8s, true);
-  spend(Case.Outage_, false);
+  Spend(8s, true);
+  Spend(Case.Outage_, false);
   for (std::size_t Index = 0; Index < 4; ++Index)
     Tested.kill(Tested.host(Index));
   Tested.advance(1s);
@@ -328,19 +328,18 @@
   EXPECT_GT(Usable, Unspent - Allowed - Budget / 10);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Kills, EscrowKillTest,
-    testing::Values(KillCase{"healthy_table", 0ms, 80'000},
-                    KillCase{"short_outage", 3s, 80'000},
-                    KillCase{"long_outage", 11s, 80'000},
-                    KillCase{"little_demand", 11s, 8'000}),
-    [](const auto &Info) { return Info.param.Name_; });
+INSTANTIATE_TEST_SUITE_P(Kills, EscrowKillTest,
+                         testing::Values(KillCase{"healthy_table", 0ms, 80'000},
+                                         KillCase{"short_outage", 3s, 80'000},
+                                         KillCase{"long_outage", 11s, 80'000},
+                                         KillCase{"little_demand", 11s, 8'000}),
+                         [](const auto &Info) { return Info.param.Name_; });
 
 TEST_F(EscrowTest, SpendingGoesOnThroughATableOutage) {
   World_.heal(1s);
   int Served = 0;
   int Asked = 0;
-  auto call = [&] {
+  auto Serve = [&] {
     std::int64_t Before = World_.exposed();
     World_.reserve(World_.host(0), 1000);
     World_.settle(World_.host(0), true);
@@ -348,14 +347,14 @@
     ++Asked;
   };
   for (int Call = 0; Call < 80; ++Call) {
-    call();
+    Serve();
     World_.heal(100ms);
   }
   EXPECT_EQ(Served, Asked);
   Served = 0;
   Asked = 0;
   for (int Call = 0; Call < 90; ++Call) {
-    call();
+    Serve();
     World_.advance(100ms);
   }
   EXPECT_GE(Served, Asked * 9 / 10);
@@ -364,7 +363,7 @@
 TEST_F(EscrowTest, TheEndOfABudgetIsKeptForUrgentRequests) {
   World_.heal(500ms);
   Host &On = World_.host(0);
-  auto ordinary = [&] {
+  auto Ordinary = [&] {
     return On.Escrow_->reserve(Shop, Tokens(4000), false, On.Clock_);
   };
   while (Prepaid - World_.exposed() > Prepaid / 40) {
@@ -372,7 +371,7 @@
     World_.settle(On, true);
     World_.heal(100ms);
   }
-  auto Refused = ordinary();
+  auto Refused = Ordinary();
   ASSERT_FALSE(Refused);
   EXPECT_EQ(Refused.error(), EscrowRefusal::KeptBack);
   EXPECT_TRUE(On.Escrow_->reserve(Shop, Tokens(1000), true, On.Clock_));
--- a/libs/direct/src/event-stream.cpp
+++ b/libs/direct/src/event-stream.cpp
@@ -64,8 +64,8 @@
   constexpr std::size_t LongestEnd = 3;
   std::string Events = Unfinished_.substr(0, Whole);
   Unfinished_.erase(0, Whole);
-  Searched_ = Unfinished_.size() > LongestEnd ? Unfinished_.size() - LongestEnd
-                                              : 0;
+  Searched_ =
+      Unfinished_.size() > LongestEnd ? Unfinished_.size() - LongestEnd : 0;
   return Events;
 }
 
--- a/libs/direct/src/headers.cpp
+++ b/libs/direct/src/headers.cpp
@@ -14,9 +14,15 @@
 
 /// Headers of one connection, and those that are written anew.
 constexpr std::array<std::string_view, 10> ConnectionHeaders{
-    "Connection",        "Keep-Alive", "Proxy-Connection",
-    "Transfer-Encoding", "TE",         "Trailer",
-    "Upgrade",           "Expect",     "Content-Length",
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Transfer-Encoding",
+    "TE",
+    "Trailer",
+    "Upgrade",
+    "Expect",
+    "Content-Length",
     "Proxy-Authorization"};
 
 bool sameName(std::string_view A, std::string_view B) {
@@ -52,10 +58,9 @@
 
 bool concernsConnection(std::string_view Name,
                         std::string_view ConnectionOptions) {
-  if (std::any_of(ConnectionHeaders.begin(), ConnectionHeaders.end(),
-                  [Name](std::string_view Each) {
-                    return sameName(Name, Each);
-                  }))
+  if (std::any_of(
+          ConnectionHeaders.begin(), ConnectionHeaders.end(),
+          [Name](std::string_view Each) { return sameName(Name, Each); }))
     return true;
   bool Listed = false;
   split(ConnectionOptions, [&](std::string_view Option) {
@@ -90,12 +95,12 @@
 RequestFacts readRequest(const net::HttpHeaders &Headers,
                          const HeaderNames &Names) {
   RequestFacts Facts;
-  auto text = [&Headers](const std::string &Name) {
+  auto Text = [&Headers](const std::string &Name) {
     return std::string(Headers.find(Name).value_or(""));
   };
-  Facts.AttemptId_ = text(Names.AttemptId_);
-  Facts.Model_ = text(Names.Model_);
-  Facts.Host_ = text("Host");
+  Facts.AttemptId_ = Text(Names.AttemptId_);
+  Facts.Model_ = Text(Names.Model_);
+  Facts.Host_ = Text("Host");
   Facts.Key_ = withoutScheme(Headers.find("Authorization").value_or(""));
   if (auto Field = Headers.find(Names.TimeLeft_))
     if (auto Value = parse<std::int64_t>(*Field); Value && *Value >= 0)
@@ -123,7 +128,7 @@
                                     const HeaderNames &Names) {
   net::HttpHeaders Out;
   std::string_view Options = FromCaller.find("Connection").value_or("");
-  auto reserved = [&Names](std::string_view Name) {
+  auto IsReserved = [&Names](std::string_view Name) {
     for (const std::string *Own :
          {&Names.TimeLeft_, &Names.Account_, &Names.ExpectedInstance_,
           &Names.Urgency_, &Names.FetchCacheFrom_, &Names.LastEventId_})
@@ -134,7 +139,7 @@
         [Name](const std::string &Each) { return sameName(Name, Each); });
   };
   for (const auto &[Name, Value] : FromCaller.fields())
-    if (!concernsConnection(Name, Options) && !reserved(Name) &&
+    if (!concernsConnection(Name, Options) && !IsReserved(Name) &&
         !sameName(Name, "Authorization"))
       Out.add(Name, Value);
   Out.add(Names.TimeLeft_, std::to_string(Facts.TimeLeft_.count()));
--- a/libs/direct/test/endpoint-list-test.cpp
+++ b/libs/direct/test/endpoint-list-test.cpp
@@ -15,8 +15,13 @@
 const base::TimePoint Start{1000s};
 
 ListedEndpoint entry(bool Draining = false, std::string Began = "1") {
-  return {One, base::PoolId("pool"), {"10.0.0.1", 80},
-          base::FailureDomainId("a"), 8, Draining, std::move(Began)};
+  return {One,
+          base::PoolId("pool"),
+          {"10.0.0.1", 80},
+          base::FailureDomainId("a"),
+          8,
+          Draining,
+          std::move(Began)};
 }
 
 TEST(EndpointListTest, DrainingEndpointGetsNothingMore) {
--- a/libs/direct/test/view-test.cpp
+++ b/libs/direct/test/view-test.cpp
@@ -63,16 +63,16 @@
 
 TEST(ViewHolderTest, VersionsNeverFall) {
   ViewHolder Holder;
-  auto version = [](std::uint64_t Number) {
+  auto Version = [](std::uint64_t Number) {
     auto Made = std::make_shared<View>();
     Made->Version_ = Number;
     return Made;
   };
-  EXPECT_TRUE(Holder.offer(version(5)));
-  EXPECT_FALSE(Holder.offer(version(5)));
-  EXPECT_FALSE(Holder.offer(version(4)));
+  EXPECT_TRUE(Holder.offer(Version(5)));
+  EXPECT_FALSE(Holder.offer(Version(5)));
+  EXPECT_FALSE(Holder.offer(Version(4)));
   EXPECT_EQ(Holder.current()->Version_, 5u);
-  EXPECT_TRUE(Holder.offer(version(9)));
+  EXPECT_TRUE(Holder.offer(Version(9)));
   EXPECT_EQ(Holder.current()->Version_, 9u);
 }
 
@@ -98,7 +98,8 @@
 
 TEST(ViewAccountTest, EveryKeyFindsItsAccount) {
   View Tested;
-  Tested.addAccount({camphorwind::base::AccountId("one"), {}, {}}, {"k1", "k2"});
+  Tested.addAccount({camphorwind::base::AccountId("one"), {}, {}},
+                    {"k1", "k2"});
   Tested.addAccount({camphorwind::base::AccountId("two"), {}, {}}, {"k3"});
   EXPECT_EQ(Tested.findAccount("k2")->Account_.str(), "one");
   EXPECT_EQ(Tested.findAccount("k3")->Account_.str(), "two");
--- a/libs/net/src/origin-client.cpp
+++ b/libs/net/src/origin-client.cpp
@@ -88,8 +88,8 @@
 struct OriginConnection {
   explicit OriginConnection(Loop &Owner, FdWatcher::Callback OnReady,
                             std::function<void()> OnTimer)
-      : Watcher_(Owner, std::move(OnReady)),
-        Timer_(Owner, std::move(OnTimer)) {}
+      : Watcher_(Owner, std::move(OnReady)), Timer_(Owner, std::move(OnTimer)) {
+  }
 
   base::Address Endpoint_;
   Socket Socket_;
@@ -342,8 +342,8 @@
       receive(Self);
       if (Self->Dead_ || !Self->Call_)
         return;
-      end(Self, OriginError{OriginErrorKind::Reset, true,
-                            std::strerror(Error)});
+      end(Self,
+          OriginError{OriginErrorKind::Reset, true, std::strerror(Error)});
       return;
     }
     restart(Self, OriginErrorKind::Reset, std::strerror(Error));
@@ -408,8 +408,8 @@
       succeed(Self);
       return;
     }
-    end(Self, OriginError{OriginErrorKind::Closed, true,
-                          "closed inside the answer"});
+    end(Self,
+        OriginError{OriginErrorKind::Closed, true, "closed inside the answer"});
   }
 
   void parse(const ConnectionPtr &Self) {
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -198,13 +198,12 @@
   EXPECT_EQ(Got.value().Body_, GetParam().Target_);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Targets, HttpServerTargetTest,
-    testing::Values(TargetCase{"plain", "/a/b"},
-                    TargetCase{"escaped", "/a%2Fb%20c"},
-                    TargetCase{"query", "/a?x=%20y&x=2&z"},
-                    TargetCase{"empty_query", "/a?"}),
-    [](const auto &Info) { return Info.param.Name_; });
+INSTANTIATE_TEST_SUITE_P(Targets, HttpServerTargetTest,
+                         testing::Values(TargetCase{"plain", "/a/b"},
+                                         TargetCase{"escaped", "/a%2Fb%20c"},
+                                         TargetCase{"query", "/a?x=%20y&x=2&z"},
+                                         TargetCase{"empty_query", "/a?"}),
+                         [](const auto &Info) { return Info.param.Name_; });
 
 TEST_F(HttpServerTest, IdleConnectionsCloseSoonAfterTheStop) {
   serve([](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
--- a/libs/routing/include/camphorwind/routing/direct-pool.h
+++ b/libs/routing/include/camphorwind/routing/direct-pool.h
@@ -132,8 +132,8 @@
   void progressed(DirectAttempt Attempt, base::TimePoint Now);
   void finished(DirectAttempt Attempt, base::TimePoint Now);
   /// Returns why the endpoint was ejected, if it was.
-  std::optional<EjectionReason>
-  failed(DirectAttempt Attempt, FailureKind Kind, base::TimePoint Now);
+  std::optional<EjectionReason> failed(DirectAttempt Attempt, FailureKind Kind,
+                                       base::TimePoint Now);
 
   /// Whether the endpoint has sent nothing for longer than it should.
   bool silent(const base::EndpointId &Endpoint, base::TimePoint Now) const;
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -136,10 +136,9 @@
       double Ahead = std::max(0.0, Busy + 1 - Slots) / Slots;
       return Milliseconds(CallTime_) * Slow * (1 + Ahead);
     }
-    double Unseen =
-        std::max(meanBacklog(Of, Now) *
-                     static_cast<double>(Options_.Routers_ - 1),
-                 decay(Of.Waiting_, 0, Now - Of.LoadAt_) * UnseenPromptTokens);
+    double Unseen = std::max(
+        meanBacklog(Of, Now) * static_cast<double>(Options_.Routers_ - 1),
+        decay(Of.Waiting_, 0, Now - Of.LoadAt_) * UnseenPromptTokens);
     double Tokens = Of.Backlog_ + Unseen + Uncached;
     Milliseconds Prefill(Tokens / Options_.PromptTokensPerMillisecond_);
     double Queue = std::max(0.0, Busy + 1 - Slots) / Slots;
@@ -229,10 +228,9 @@
       Cost += Options_.CrossDomainCost_ *
               (static_cast<double>(Wanted.BodyBytes_) / 1000 + 1);
     Cost += failureRate(Each, Now);
-    Cost += OccupancyCost * requests(Each, Now) /
-            std::max(1U, Each.Traits_.Slots_);
-    double Objective =
-        std::max(1.0, Milliseconds(Wanted.Objective_).count());
+    Cost +=
+        OccupancyCost * requests(Each, Now) / std::max(1U, Each.Traits_.Slots_);
+    double Objective = std::max(1.0, Milliseconds(Wanted.Objective_).count());
     Cost += lateRisk(Made.First_.count() / Objective);
     Made.Cost_ = Cost;
     return Made;
@@ -331,8 +329,8 @@
   Inner_->Options_.Routers_ = std::max<std::size_t>(1, Count);
 }
 
-base::Result<Placement, Misplacement>
-DirectPool::choose(const Demand &Wanted, base::TimePoint Now) {
+base::Result<Placement, Misplacement> DirectPool::choose(const Demand &Wanted,
+                                                         base::TimePoint Now) {
   const Impl::Endpoint *Home = Inner_->homeOf(Wanted.Prompt_);
   Impl::Holder Held;
   if (!Wanted.Prompt_.empty())
@@ -419,8 +417,7 @@
   double Known = Inner_->slowness(*Of, Now);
   double Observed = Milliseconds(Now - Its.SentAt_) /
                     std::max(Milliseconds(1), Milliseconds(Its.Expected_));
-  double Sample =
-      std::clamp(Known * Observed, LeastSlowness, MostSlowness);
+  double Sample = std::clamp(Known * Observed, LeastSlowness, MostSlowness);
   Of->Slowness_ = Known + SampleWeight * (Sample - Known);
   Of->SlownessAt_ = Now;
 }
--- a/libs/routing/src/retry-window.cpp
+++ b/libs/routing/src/retry-window.cpp
@@ -3,8 +3,7 @@
 namespace camphorwind::routing {
 
 RetryWindow::Bucket &RetryWindow::bucketAt(base::TimePoint Now) {
-  base::Duration Length =
-      base::Duration(Options_.Window_) / BucketsPerWindow;
+  base::Duration Length = base::Duration(Options_.Window_) / BucketsPerWindow;
   std::int64_t Number = Now.time_since_epoch() / Length;
   if (Buckets_.empty() || Buckets_.back().Number_ < Number)
     Buckets_.push_back({Number, 0, 0});
@@ -18,9 +17,7 @@
     Buckets_.pop_front();
 }
 
-void RetryWindow::addRequest(base::TimePoint Now) {
-  ++bucketAt(Now).Requests_;
-}
+void RetryWindow::addRequest(base::TimePoint Now) { ++bucketAt(Now).Requests_; }
 
 bool RetryWindow::available(base::TimePoint Now) {
   std::int64_t Newest = bucketAt(Now).Number_;
--- a/libs/routing/test/direct-pool-test.cpp
+++ b/libs/routing/test/direct-pool-test.cpp
@@ -146,8 +146,10 @@
 TEST_F(DirectPoolTest, BusyEngineIsNotTakenForASilentOne) {
   addEngines(1);
   std::vector<Started> Running;
-  for (int Call = 0; Call < 10; ++Call)
-    Running.push_back(start(demandFor(static_cast<std::uint64_t>(Call))));
+  constexpr std::uint64_t Calls = 10;
+  Running.reserve(Calls);
+  for (std::uint64_t Call = 0; Call < Calls; ++Call)
+    Running.push_back(start(demandFor(Call)));
   // Answers come one by one, each much later than the first was expected.
   for (const Started &Each : Running) {
     Now_ += 400ms;
