Fetch a spilled prompt from the home that other routers use

Cause: a router knows only what it sent itself. Where a prompt spilled from its home, a fetch was asked for only if this router had sent the subject there, or if the other engine had nothing at all; the part that all subjects share was enough to have the rest read again. Change: any engine but the home fetches from the home if shared parts are missing there. Also takes out two unused members and a setting.

--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -31,9 +31,6 @@
   void tick(base::TimePoint Now);
   /// Tokens may have become available.
   void retryReservation();
-  /// The endpoint takes no new work. An attempt that has not begun there may
-  /// still be answered.
-  const base::EndpointId &endpoint() const { return Placed_.Endpoint_; }
 
 private:
   /// What is known of the attempt in progress.
@@ -76,7 +73,6 @@
   /// Whether another endpoint may be tried now; takes from the retry bound.
   bool takeRetry(bool Arrived);
   void closeAttempt(routing::FailureKind Kind);
-  bool answerHasBegun() const { return StreamStarted_; }
   void checkSilence(base::TimePoint Now);
 
   void onHangup();
--- a/daemons/direct/settings.h
+++ b/daemons/direct/settings.h
@@ -7,7 +7,6 @@
 #include "camphorwind/routing/retry-window.h"
 
 #include <chrono>
-#include <optional>
 
 namespace camphorwind::direct {
 
@@ -17,9 +16,8 @@
   base::FailureDomainId Domain_;
   /// Where callers connect.
   base::Address Listen_;
-  /// Where the balancer asks `GET /ready`, and metrics are served.
+  /// Where the balancer asks `GET /ready`, and `GET /metrics` is served.
   base::Address Readiness_;
-  std::optional<base::Address> Metrics_;
   HeaderNames Headers_;
   routing::RetryWindowOptions Retries_;
   /// After SIGTERM requests are taken for this long, until the balancer has
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -187,11 +187,17 @@
                      Of.Traits_.Endpoint_) != Wanted.Avoid_.end();
   }
 
-  std::uint32_t assumedAtHome(std::span<const PromptPart> Prompt) const {
+  /// Tokens of all parts but the last.
+  static std::uint32_t sharedTokens(std::span<const PromptPart> Prompt) {
     std::uint32_t Shared = 0;
     for (const PromptPart &Part : Prompt.first(Prompt.size() - 1))
       Shared += Part.Tokens_;
-    return static_cast<std::uint32_t>(Options_.AssumedAtHome_ * Shared);
+    return Shared;
+  }
+
+  std::uint32_t assumedAtHome(std::span<const PromptPart> Prompt) const {
+    return static_cast<std::uint32_t>(Options_.AssumedAtHome_ *
+                                      sharedTokens(Prompt));
   }
 
   struct Offer {
@@ -214,8 +220,10 @@
       Made.FetchFrom_ = Held.Engine_;
       Cost += Options_.FetchCost_ * (Held.Tokens_ - Made.Cached_) / 1000;
       Made.Cached_ = Held.Tokens_;
-    } else if (Home && Home != &Each && Made.Cached_ == 0 &&
-               Wanted.Prompt_.size() > 1) {
+    } else if (Home && Home != &Each &&
+               sharedTokens(Wanted.Prompt_) >=
+                   Made.Cached_ + Options_.MinFetchTokens_) {
+      // Other routers send to the home, so it may have more than is known here.
       Made.FetchFrom_ = Home;
     }
     double Uncached =
--- a/libs/routing/test/direct-pool-test.cpp
+++ b/libs/routing/test/direct-pool-test.cpp
@@ -143,6 +143,20 @@
     EXPECT_LT(Count, 25);
 }
 
+TEST_F(DirectPoolTest, SpillIsFetchedFromTheHomeThatOtherRoutersUse) {
+  addEngines(4);
+  // Every engine has the part that all subjects share, and no more is known.
+  for (std::uint64_t Subject = 100; Subject < 140; ++Subject)
+    run(demandFor(Subject));
+  Placement Home = Pool_.choose(demandFor(7), Now_).value();
+  std::vector<base::EndpointId> Avoided{Home.Endpoint_};
+  Demand Wanted = demandFor(7);
+  Wanted.Avoid_ = Avoided;
+  Placement Spill = Pool_.choose(Wanted, Now_).value();
+  EXPECT_NE(Spill.Endpoint_, Home.Endpoint_);
+  EXPECT_EQ(Spill.FetchFrom_, Home.Endpoint_);
+}
+
 TEST_F(DirectPoolTest, BusyEngineIsNotTakenForASilentOne) {
   addEngines(1);
   std::vector<Started> Running;
