End broken requests at once where no other endpoint is left

Cause: found by reading: a stream that broke off while no other endpoint could take it was refused, which a started answer ignores; its caller waited in vain. A repeatable call whose second attempt found no endpoint was answered 503, which says that it has not run. Change: refusing a started stream cuts it off; what may have run is answered 502. Two tests that failed first.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -446,10 +446,6 @@
     place();
     return;
   }
-  if (StreamStarted_) {
-    abort(RefusalReason::EndpointFailed);
-    return;
-  }
   refuse(Runs_ == 0 ? RefusalReason::Overloaded
                     : RefusalReason::EndpointFailed);
 }
@@ -464,12 +460,8 @@
     place();
     return;
   }
-  if (StreamStarted_) {
-    abort(RefusalReason::EndpointFailed);
-    return;
-  }
   // The endpoint's own error answer tells more than one of ours.
-  if (Why == "error_answer" && Attempt_.Signed_) {
+  if (!StreamStarted_ && Why == "error_answer" && Attempt_.Signed_) {
     passOn(Attempt_.Status_, Attempt_.Headers_, std::move(Attempt_.Body_));
     return;
   }
@@ -490,10 +482,7 @@
       Sending_ = false;
       closeAttempt(routing::FailureKind::Stalled);
       ++Runs_;
-      if (StreamStarted_)
-        abort(RefusalReason::DeadlineExceeded);
-      else
-        refuse(RefusalReason::DeadlineExceeded);
+      refuse(RefusalReason::DeadlineExceeded);
     } else {
       refuse(RefusalReason::NoSliceTableUnreachable);
     }
@@ -548,11 +537,18 @@
 
 void ForwardedRequest::refuse(RefusalReason Reason,
                               std::optional<base::Duration> RetryAfter) {
+  constexpr unsigned Unavailable = 503;
+  if (StreamStarted_) {
+    abort(Reason);
+    return;
+  }
+  // That status promises that the request has not run.
+  if (Runs_ > 0 && daemons::httpStatusOf(Reason) == Unavailable)
+    Reason = RefusalReason::LinkLost;
   daemons::CallerError Error;
   Error.Reason_ = Reason;
   Error.Ran_ = Runs_ == 0 ? base::Ran::No : base::Ran::Unknown;
   unsigned Status = daemons::httpStatusOf(Reason);
-  constexpr unsigned Unavailable = 503;
   if (Status == Unavailable) {
     // Spread, so that those refused together come back apart.
     constexpr std::uint32_t Steps = 256;
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -141,6 +141,7 @@
   unsigned Status_ = 0;
   net::HttpHeaders Headers_;
   std::string Body_;
+  bool Ended_ = false;
   bool Whole_ = false;
 };
 
@@ -246,6 +247,7 @@
       Found.Body_.append(Data);
     };
     Events.OnEnd_ = [&](const base::Result<void, net::OriginError> &Ended) {
+      Found.Ended_ = true;
       Found.Whole_ = static_cast<bool>(Ended);
       Owner_->stop();
     };
@@ -376,6 +378,20 @@
   EXPECT_EQ(From, (std::vector<std::string>{"-", "1"}));
 }
 
+TEST_F(DirectRouterTest, BrokenStreamWithoutAnotherEndpointEndsAtOnce) {
+  configure(RequestKind::Stream, true);
+  addEndpoint({Deed::StreamCut});
+  Got Found = fetch(call());
+  EXPECT_TRUE(Found.Ended_);
+  EXPECT_FALSE(Found.Whole_);
+}
+
+TEST_F(DirectRouterTest, NotRunIsNeverSaidOfWhatMayHaveRun) {
+  configure(RequestKind::Idempotent);
+  addEndpoint({Deed::Cut});
+  EXPECT_EQ(fetch(call()).Status_, 502u);
+}
+
 TEST_F(DirectRouterTest, SendsOnWhatTheCallerSentAndWhatTheRouterDecided) {
   configure(RequestKind::NonIdempotent);
   Endpoint &One = addEndpoint();
