Free nothing for demand that was taken off again; keep the end of a budget in the table

Change: demand is never negative, and rows with negative figures are not read. The last 3% of a budget stays in the table, where no kill strands it, and urgent requests share it over a minute.

--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -84,6 +84,9 @@
   if (!Granted || !Used || !Burst || !Rate || !At ||
       Incarnation == Parsed->end() || !Incarnation->is_string())
     return std::nullopt;
+  // A negative figure would free tokens that may have been spent.
+  if (*Granted < 0 || *Used < 0 || *Burst < 0 || *Rate < 0)
+    return std::nullopt;
   return SliceRow{Incarnation->get<std::string>(),
                   *Granted,
                   {*Used, *Burst, *Rate, std::chrono::milliseconds(*At)},
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -27,8 +27,12 @@
 /// What it keeps then.
 constexpr double KeepShare = 1.1;
 /// Part of a budget that is kept for urgent requests at its end: they bring
-/// most for a token.
+/// most for a token. It stays in the table, where no killed router strands it.
 constexpr double UrgentShare = 0.03;
+/// Time over which that part is spent, so that some urgent requests are served
+/// all along, and what a router may save up of its part.
+constexpr std::chrono::duration<double> UrgentPace{60.0};
+constexpr double UrgentBurst = 6000;
 /// Smaller corrections, as a part of the budget, are not worth a transaction.
 constexpr double LeastCorrection = 0.01;
 /// Time between two corrections for one account.
@@ -84,6 +88,11 @@
 
   /// Largest bound asked for in vain since the last grant.
   std::int64_t Wanted_ = 0;
+  /// The same of urgent requests that may draw on what is kept for them.
+  std::int64_t UrgentWanted_ = 0;
+  /// Tokens of the kept part that this router may spend now.
+  double UrgentLevel_ = UrgentBurst;
+  base::TimePoint UrgentAt_{};
   /// Unspent tokens in the slices of all other routers, from the last read.
   std::int64_t HeldByOthers_ = 0;
   /// Tokens that all other routers spend a second, from the last read.
@@ -174,6 +183,34 @@
     return Of.Prepaid_ - Of.GrantedToAll_;
   }
 
+  static std::int64_t keptBack(const AccountState &Of) {
+    return static_cast<std::int64_t>(UrgentShare *
+                                     static_cast<double>(Of.Prepaid_));
+  }
+
+  static void hold(AccountState &Of, std::int64_t Tokens, base::TimePoint Now) {
+    if (Of.Used_ + Of.Held_ == 0)
+      Of.FirstUseAt_ = Now;
+    Of.Held_ += Tokens;
+    noteSize(Of, Tokens);
+    noteDemand(Of, Tokens, Now);
+  }
+
+  /// Takes from this router's part of what is kept for urgent requests.
+  bool takeUrgent(AccountState &Of, std::int64_t Tokens,
+                  base::TimePoint Now) const {
+    std::chrono::duration<double> Since = Now - Of.UrgentAt_;
+    double Rate = static_cast<double>(keptBack(Of)) /
+                  (UrgentPace.count() * static_cast<double>(Routers_));
+    Of.UrgentLevel_ =
+        std::min(UrgentBurst, Of.UrgentLevel_ + Rate * Since.count());
+    Of.UrgentAt_ = Now;
+    if (static_cast<double>(Tokens) > Of.UrgentLevel_)
+      return false;
+    Of.UrgentLevel_ -= static_cast<double>(Tokens);
+    return true;
+  }
+
   /// What no router has spent, as far as is known here.
   static std::int64_t unspent(const AccountState &Of) {
     return std::max<std::int64_t>(0, undrawn(Of)) + Of.HeldByOthers_ +
@@ -198,6 +235,9 @@
     std::int64_t Left = undrawn(Of);
     if (Left < 0)
       return -std::min(Rest, surplusAfterCut(Of));
+    if (Of.UrgentWanted_ > Rest)
+      return std::min(Left, Of.UrgentWanted_ - Rest);
+    Left = std::max<std::int64_t>(0, Left - keptBack(Of));
     if (Of.Wanted_ > Rest)
       return std::min(
           Left, std::max(Of.Wanted_ - Rest,
@@ -234,7 +274,9 @@
   static double demand(const AccountState &Of, base::TimePoint Now) {
     std::chrono::duration<double> Idle = Now - Of.DemandAt_;
     std::chrono::duration<double> Age = Now - Of.FirstUseAt_;
-    double Smoothed = Of.Demand_ * std::exp(-Idle / DemandAverage);
+    // What a reservation added has decayed when its rest is taken off again.
+    double Smoothed =
+        std::max(0.0, Of.Demand_ * std::exp(-Idle / DemandAverage));
     // The average has not seen its whole time yet.
     double Seen = 1 - std::exp(-std::max(LeastAge, Age) / DemandAverage);
     return Smoothed / Seen;
@@ -366,6 +408,7 @@
         Of.GrantAt_ = Now;
       }
       Of.Wanted_ = 0;
+      Of.UrgentWanted_ = 0;
       Of.CheckpointAt_ = Now;
       Of.Confirmed_ = std::exchange(Of.Pending_, std::nullopt);
       Of.PendingGrant_ = 0;
@@ -487,23 +530,25 @@
     return base::failure(EscrowRefusal::NotLoaded);
   AccountState &Of = Impl_->Accounts_[Account];
   std::int64_t Wanted = Bound.count();
-  double Unspent = static_cast<double>(Impl::unspent(Of) - Wanted);
-  if (!Urgent && Unspent < UrgentShare * static_cast<double>(Of.Prepaid_))
-    return base::failure(EscrowRefusal::KeptBack);
   if (Wanted <= Impl_->available(Of, Now)) {
-    if (Of.Used_ + Of.Held_ == 0)
-      Of.FirstUseAt_ = Now;
-    Of.Held_ += Wanted;
-    Impl::noteSize(Of, Wanted);
-    Impl::noteDemand(Of, Wanted, Now);
+    Impl::hold(Of, Wanted, Now);
     return base::success();
   }
+  std::int64_t Missing = Wanted - (Of.Granted_ - Of.used());
+  bool NeedsKept = Impl::undrawn(Of) - Missing < Impl::keptBack(Of);
+  bool AlreadyAsked = Of.UrgentWanted_ >= Wanted;
+  if (Urgent && NeedsKept &&
+      (AlreadyAsked || Impl_->takeUrgent(Of, Wanted, Now)))
+    Of.UrgentWanted_ = std::max(Of.UrgentWanted_, Wanted);
   Of.Wanted_ = std::max(Of.Wanted_, Wanted);
   bool Fresh = Impl_->RowsSeen_ && Now - Impl_->RowsAt_ < EvidenceAge;
   if (Fresh && Impl::unspent(Of) < Wanted)
     return base::failure(EscrowRefusal::Spent);
   if (Impl_->Unreachable_)
     return base::failure(EscrowRefusal::Unreachable);
+  if (Fresh && NeedsKept && Of.UrgentWanted_ < Wanted &&
+      Impl::unspent(Of) - Wanted < Impl::keptBack(Of))
+    return base::failure(EscrowRefusal::KeptBack);
   return base::failure(EscrowRefusal::NotHere);
 }
 
@@ -540,6 +585,7 @@
     Of.HeldByOthers_ = 0;
     Of.DemandOfOthers_ = 0;
     Of.Wanted_ = 0;
+    Of.UrgentWanted_ = 0;
   }
   std::size_t Routers = 0;
   bool Listed = false;
