Keep 1.2% of a budget for urgent requests, and leave idle routers less

Change: 1.2% is kept and shared over half a minute; idle routers together are credited with the budget over 4,000 s.

--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -28,10 +28,10 @@
 constexpr double KeepShare = 1.1;
 /// Part of a budget that is kept for urgent requests at its end: they bring
 /// most for a token. It stays in the table, where no killed router strands it.
-constexpr double UrgentShare = 0.03;
+constexpr double UrgentShare = 0.012;
 /// Time over which that part is spent, so that some urgent requests are served
 /// all along, and what a router may save up of its part.
-constexpr std::chrono::duration<double> UrgentPace{60.0};
+constexpr std::chrono::duration<double> UrgentPace{30.0};
 constexpr double UrgentBurst = 6000;
 /// Smaller corrections, as a part of the budget, are not worth a transaction.
 constexpr double LeastCorrection = 0.01;
@@ -39,7 +39,7 @@
 constexpr milliseconds GrantInterval{1000};
 /// Demand that all routers without requests are credited with together: the
 /// budget over this time.
-constexpr double IdleDemandSeconds = 1500;
+constexpr double IdleDemandSeconds = 4000;
 /// Between checkpoints a router may spend this many times its demand all the
 /// time, and at once what requests that arrive at random vary by over a table
 /// outage, times the second factor. Higher figures refuse less while the table
