Look up pools, live requests and an old configuration in one place each

Cause: reading the change again: the lookup of a pool stood twice, so did the copy of the live requests and the check for a silent configuration source. Change: View::findPool, Forwarding::liveRequests, viewMayBeOld; no change of behaviour, and no test was touched.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace camphorwind::direct {
 
@@ -88,10 +87,7 @@
       for (const base::EndpointId &Each : Pool.Choice_.sweep(Now))
         observe::log(LogLevel::Warning, "endpoint_ejected",
                      {{"endpoint", Each.str()}, {"reason", "silent"}});
-    // Requests may end while they are visited.
-    std::vector<std::shared_ptr<ForwardedRequest>> Live(Shared_.Live_.begin(),
-                                                        Shared_.Live_.end());
-    for (const auto &Each : Live)
+    for (const auto &Each : Shared_.liveRequests())
       Each->tick(Now);
     noteReadiness();
     if (Shared_.Stopping_)
@@ -125,10 +121,7 @@
 
   const Pool *traitsOf(const base::PoolId &Id) const {
     const ViewPtr &View = Shared_.View_.current();
-    if (!View)
-      return nullptr;
-    auto Found = View->Pools_.find(Id);
-    return Found == View->Pools_.end() ? nullptr : &Found->second;
+    return View ? View->findPool(Id) : nullptr;
   }
 
   std::uint64_t cacheTokens(const base::PoolId &Id) const {
@@ -178,9 +171,7 @@
       }
       observe::log(LogLevel::Info, "routers_counted", {{"routers", Routers_}});
     }
-    std::vector<std::shared_ptr<ForwardedRequest>> Live(Shared_.Live_.begin(),
-                                                        Shared_.Live_.end());
-    for (const auto &Each : Live)
+    for (const auto &Each : Shared_.liveRequests())
       Each->retryReservation();
     noteReadiness();
   }
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -85,12 +85,8 @@
   Route_ = View_->findRoute(withoutPort(Facts_.Host_), Request_.Path_);
   if (!Route_)
     Route_ = View_->findRoute(Facts_.Host_, Request_.Path_);
-  if (!Route_) {
-    // A router that has lost its source may miss routes that exist by now.
-    bool Stale = Shared_.SourceLostAt_ &&
-                 ArrivedAt_ - *Shared_.SourceLostAt_ > SourceSilence;
-    return Stale ? RefusalReason::NotReady : RefusalReason::NotFound;
-  }
+  if (!Route_)
+    return viewMayBeOld() ? RefusalReason::NotReady : RefusalReason::NotFound;
   if (auto Reason = identify())
     return Reason;
   if (Request_.Body_.size() > View_->Limits_.BodyBytes_)
@@ -100,8 +96,7 @@
   if (!Target)
     return RefusalReason::NoEndpoint;
   Pool_ = Target->Pool_;
-  auto Traits = View_->Pools_.find(Pool_);
-  PoolTraits_ = Traits == View_->Pools_.end() ? nullptr : &Traits->second;
+  PoolTraits_ = View_->findPool(Pool_);
   if (!Request_.Body_.empty())
     Body_ = std::make_shared<const std::string>(std::move(Request_.Body_));
   CallerDeadline_ = ArrivedAt_ + Facts_.TimeLeft_.value_or(Route_->Timeout_);
@@ -117,9 +112,12 @@
     Account_ = View_->findAccount(Facts_.Key_);
   if (Account_ || Route_->Public_)
     return std::nullopt;
-  bool Stale = Shared_.SourceLostAt_ &&
-               ArrivedAt_ - *Shared_.SourceLostAt_ > SourceSilence;
-  return Stale ? RefusalReason::NotReady : RefusalReason::UnknownKey;
+  return viewMayBeOld() ? RefusalReason::NotReady : RefusalReason::UnknownKey;
+}
+
+bool ForwardedRequest::viewMayBeOld() const {
+  return Shared_.SourceLostAt_ &&
+         ArrivedAt_ - *Shared_.SourceLostAt_ > SourceSilence;
 }
 
 bool ForwardedRequest::reserve() {
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -50,6 +50,9 @@
 
   std::optional<base::RefusalReason> admit();
   std::optional<base::RefusalReason> identify();
+  /// Whether the source of the configuration has been silent for so long that
+  /// what is missing from it may exist by now.
+  bool viewMayBeOld() const;
   /// Sets aside tokens. Returns false if the request has to wait or is over.
   bool reserve();
   void logReservation(budget::EscrowRefusal Why, base::Tokens Bound,
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -20,6 +20,7 @@
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace camphorwind::direct {
 
@@ -39,6 +40,10 @@
 
   /// Returns the pool, made if it is new.
   PoolState &pool(const base::PoolId &Id);
+  /// Requests without a final answer. A copy: they may end while visited.
+  std::vector<std::shared_ptr<ForwardedRequest>> liveRequests() const {
+    return {Live_.begin(), Live_.end()};
+  }
 
   net::Loop &Owner_;
   DirectSettings Settings_;
--- a/libs/direct/include/camphorwind/direct/view.h
+++ b/libs/direct/include/camphorwind/direct/view.h
@@ -112,6 +112,8 @@
 
   /// Returns the route of \p Host with the longest prefix of \p Path, or null.
   const Route *findRoute(std::string_view Host, std::string_view Path) const;
+  /// Returns the pool, or null.
+  const Pool *findPool(const base::PoolId &Id) const;
   /// Returns the account that holds \p Key, or null.
   const Account *findAccount(std::string_view Key) const;
   /// Whether requests need keys at all.
--- a/libs/direct/src/view.cpp
+++ b/libs/direct/src/view.cpp
@@ -60,6 +60,11 @@
   return nullptr;
 }
 
+const Pool *View::findPool(const base::PoolId &Id) const {
+  auto Found = Pools_.find(Id);
+  return Found == Pools_.end() ? nullptr : &Found->second;
+}
+
 const Account *View::findAccount(std::string_view Key) const {
   auto Found = AccountByKey_.find(Key);
   return Found == AccountByKey_.end() ? nullptr : &Accounts_[Found->second];
