--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -20,7 +20,7 @@
 /// Part of all that is unspent which the routers hold together; the rest stays
 /// in the table, where a router that gets an account's callers for the first
 /// time finds it within one transaction.
-constexpr double HeldShare = 0.65;
+constexpr double HeldShare = 0.7;
 /// A router draws when it holds less than this part of its share, and returns
 /// tokens when it holds more than the other.
 constexpr double RefillShare = 0.8;
