--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -30,6 +30,8 @@
   /// Name of the host's router; processes that follow each other share it.
   base::RouterId Router_;
   base::Incarnation Incarnation_;
+  /// Published with this router's sign of life; empty for none.
+  std::string PeerAddress_;
   /// When this process started: the one before it was gone by then.
   base::TimePoint StartedAt_{};
   /// Shortest time between two checkpoints while anything is spent. A killed
@@ -50,7 +52,8 @@
 /// Why tokens could not be set aside.
 enum class EscrowRefusal {
   Spent,       ///< What all routers hold and the rest do not cover the bound.
-  NotHere,     ///< Others may hold enough; worth another try soon.
+  NotHere,     ///< The table has enough; worth another try in a moment.
+  Elsewhere,   ///< Only others hold enough; worth another try in seconds.
   KeptBack,    ///< What is left is kept for urgent requests.
   NotLoaded,   ///< The table has not been read yet.
   Unreachable, ///< The slice is used up and the table can't be reached.
@@ -130,6 +133,9 @@
   bool closed() const;
 
   bool loaded() const;
+  /// Published addresses of other routers that wrote lately. Each router gets
+  /// them in another order.
+  const std::vector<std::string> &peers() const;
   /// Routers that wrote lately, this one included; at least 1.
   std::size_t routers() const;
   EscrowStatus status(const base::AccountId &Account,
--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -115,16 +115,20 @@
   return Parsed ? number(*Parsed, "granted") : std::nullopt;
 }
 
-std::string encodePresence(std::chrono::milliseconds At) {
-  return Json{{"at", At.count()}}.dump();
+std::string encodePresence(const Presence &Value) {
+  return Json{{"at", Value.At_.count()}, {"address", Value.Address_}}.dump();
 }
 
-std::optional<std::chrono::milliseconds> decodePresence(std::string_view Text) {
+std::optional<Presence> decodePresence(std::string_view Text) {
   auto Parsed = parse(Text);
   auto At = Parsed ? number(*Parsed, "at") : std::nullopt;
   if (!At)
     return std::nullopt;
-  return std::chrono::milliseconds(*At);
+  Presence Read{std::chrono::milliseconds(*At), {}};
+  auto Address = Parsed->find("address");
+  if (Address != Parsed->end() && Address->is_string())
+    Read.Address_ = Address->get<std::string>();
+  return Read;
 }
 
 } // namespace camphorwind::budget::detail
--- a/libs/budget/src/escrow-rows.h
+++ b/libs/budget/src/escrow-rows.h
@@ -62,8 +62,15 @@
 std::optional<SliceRow> decodeSlice(std::string_view Text);
 std::string encodeTotal(std::int64_t Granted);
 std::optional<std::int64_t> decodeTotal(std::string_view Text);
-std::string encodePresence(std::chrono::milliseconds At);
-std::optional<std::chrono::milliseconds> decodePresence(std::string_view Text);
+
+/// A router's sign of life.
+struct Presence {
+  std::chrono::milliseconds At_{0};
+  /// Where other routers reach it; empty for nowhere.
+  std::string Address_;
+};
+std::string encodePresence(const Presence &Value);
+std::optional<Presence> decodePresence(std::string_view Text);
 
 } // namespace camphorwind::budget::detail
 
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -74,6 +74,8 @@
 constexpr std::chrono::duration<double> PriorTime{1.5};
 /// A router that was not heard of for this long is not counted.
 constexpr milliseconds PresenceTimeout{6000};
+/// A router that has nothing else to write shows that it lives.
+constexpr milliseconds PresenceInterval{2500};
 /// Time between two reads of all rows, in general and while an account is
 /// nearly spent.
 constexpr milliseconds RowsInterval{700};
@@ -143,6 +145,8 @@
     return "spent";
   case EscrowRefusal::NotHere:
     return "not_here";
+  case EscrowRefusal::Elsewhere:
+    return "elsewhere";
   case EscrowRefusal::KeptBack:
     return "kept_back";
   case EscrowRefusal::NotLoaded:
@@ -453,14 +457,17 @@
       if (Grants ? wantsGrant(Of, Now) : wantsCheckpoint(Of, Now))
         addAccount(Account, Of, Change, Grants ? grantFor(Of, Now) : 0, Now);
     }
-    if (InProgress_.empty())
+    bool Unseen = !Closing_ && !Grants && Now - WroteAt_ >= PresenceInterval;
+    if (InProgress_.empty() && !Unseen)
       return std::nullopt;
+    WroteAt_ = Now;
     std::string Presence = detail::routerKey(Settings_.Router_);
     if (Closing_)
       Change.Writes_.push_back({std::move(Presence), std::nullopt});
     else
       Change.Writes_.push_back(
-          {std::move(Presence), detail::encodePresence(tableTime(Now))});
+          {std::move(Presence),
+           detail::encodePresence({tableTime(Now), Settings_.PeerAddress_})});
     return Change;
   }
 
@@ -567,6 +574,16 @@
     inheritDemand(Of, Row->TokensPerSecond_, Now);
   }
 
+  /// Starts behind this router's own name, so that routers prefer others.
+  void setPeers(const std::map<std::string, std::string> &AddressByKey) {
+    Peers_.clear();
+    auto First = AddressByKey.upper_bound(detail::routerKey(Settings_.Router_));
+    for (auto Each = First; Each != AddressByKey.end(); ++Each)
+      Peers_.push_back(Each->second);
+    for (auto Each = AddressByKey.begin(); Each != First; ++Each)
+      Peers_.push_back(Each->second);
+  }
+
   /// Another router's slice, as of its last checkpoint.
   static void noteOther(AccountState &Of, const SliceRow &Row,
                         milliseconds Time) {
@@ -579,6 +596,7 @@
   EscrowSettings Settings_;
   std::map<base::AccountId, AccountState> Accounts_;
   std::size_t Routers_ = Settings_.ExpectedRouters_;
+  std::vector<std::string> Peers_;
   bool Loaded_ = false;
   bool Closing_ = false;
   /// The result of the transaction in progress is not known.
@@ -590,6 +608,7 @@
   std::vector<base::AccountId> InProgress_;
   std::vector<EscrowTakeover> Takeovers_;
   base::TimePoint NotBefore_{};
+  base::TimePoint WroteAt_{};
   bool GrantsNext_ = false;
   base::TimePoint RowsAt_{};
   bool RowsSeen_ = false;
@@ -649,6 +668,8 @@
   if (Fresh && NeedsKept && Of.UrgentWanted_ < Wanted &&
       Impl::unspent(Of) - Wanted < Impl::keptBack(Of))
     return base::failure(EscrowRefusal::KeptBack);
+  if (Fresh && NeedsKept && Of.UrgentWanted_ < Wanted)
+    return base::failure(EscrowRefusal::Elsewhere);
   return base::failure(EscrowRefusal::NotHere);
 }
 
@@ -687,15 +708,18 @@
     Of.Wanted_ = 0;
     Of.UrgentWanted_ = 0;
   }
+  std::map<std::string, std::string> Addresses;
   std::size_t Routers = 0;
   bool Listed = false;
   for (const base::Row &Each : Read.Rows_) {
     if (Each.Key_.starts_with(RouterPrefix)) {
-      auto At = detail::decodePresence(Each.Value_);
-      if (At && Time - *At < PresenceTimeout)
-        ++Routers;
-      Listed =
-          Listed || Each.Key_ == detail::routerKey(Impl_->Settings_.Router_);
+      auto Seen = detail::decodePresence(Each.Value_);
+      bool Lives = Seen && Time - Seen->At_ < PresenceTimeout;
+      bool Own = Each.Key_ == detail::routerKey(Impl_->Settings_.Router_);
+      Routers += Lives ? 1 : 0;
+      Listed = Listed || Own;
+      if (Lives && !Own && !Seen->Address_.empty())
+        Addresses.emplace(Each.Key_, std::move(Seen->Address_));
       continue;
     }
     auto Name = detail::sliceNameFromKey(Each.Key_);
@@ -710,6 +734,7 @@
   }
   Impl_->Routers_ =
       std::max(Impl_->Settings_.ExpectedRouters_, Routers + (Listed ? 0 : 1));
+  Impl_->setPeers(Addresses);
   Impl_->RowsAt_ = Now;
   Impl_->RowsSeen_ = true;
   Impl_->Loaded_ = true;
@@ -780,6 +805,8 @@
 
 bool Escrow::loaded() const { return Impl_->Loaded_; }
 
+const std::vector<std::string> &Escrow::peers() const { return Impl_->Peers_; }
+
 std::size_t Escrow::routers() const { return Impl_->Routers_; }
 
 EscrowStatus Escrow::status(const base::AccountId &Account,
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -2,6 +2,7 @@
 
 #include "fake-table.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -63,6 +64,7 @@
         base::Incarnation(On.Name_ + "." + std::to_string(++On.Process_));
     Settings.StartedAt_ = On.Clock_;
     Settings.ExpectedRouters_ = Hosts_.size();
+    Settings.PeerAddress_ = "address of " + On.Name_;
     On.Escrow_ = std::move(Escrow::create(Settings)).value();
     On.Escrow_->setBudget(Shop, Tokens(Prepaid_));
     On.Suspended_ = false;
@@ -530,12 +532,37 @@
   auto Refused =
       On.Escrow_->reserve(Shop, Tokens(Prepaid * 9 / 10), true, On.Clock_);
   ASSERT_FALSE(Refused);
+  EXPECT_EQ(Refused.error(), EscrowRefusal::Elsewhere);
+  // The table itself has enough for this one, which only has to be drawn.
+  Refused = On.Escrow_->reserve(Shop, Tokens(Prepaid / 4), true, On.Clock_);
+  ASSERT_FALSE(Refused);
   EXPECT_EQ(Refused.error(), EscrowRefusal::NotHere);
   Refused = On.Escrow_->reserve(Shop, Tokens(Prepaid + 1), true, On.Clock_);
   ASSERT_FALSE(Refused);
   EXPECT_EQ(Refused.error(), EscrowRefusal::Spent);
 }
 
+TEST_F(EscrowTest, RoutersLearnEachOthersAddressesInDifferentOrders) {
+  World_.heal(4s);
+  using testing::ElementsAre;
+  EXPECT_THAT(World_.host(0).Escrow_->peers(),
+              ElementsAre("address of h1", "address of h2", "address of h3"));
+  EXPECT_THAT(World_.host(2).Escrow_->peers(),
+              ElementsAre("address of h3", "address of h0", "address of h1"));
+}
+
+TEST_F(EscrowTest, RoutersThatFellSilentAreNoPeers) {
+  World_.heal(2s);
+  World_.host(1).Suspended_ = true;
+  World_.advance(20s);
+  Host &Other = World_.host(0);
+  World_.reserve(Other, 1000);
+  World_.transact(Other, World::Fate::Done);
+  World_.read(Other);
+  EXPECT_THAT(Other.Escrow_->peers(),
+              testing::Not(testing::Contains(std::string("address of h1"))));
+}
+
 TEST_F(EscrowTest, CloseReturnsEverything) {
   World_.heal(1s);
   Host &Leaving = World_.host(0);
