--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -597,27 +597,29 @@
   std::map<base::AccountId, AccountState> Accounts_;
   std::size_t Routers_ = Settings_.ExpectedRouters_;
   std::vector<std::string> Peers_;
-  bool Loaded_ = false;
-  bool Closing_ = false;
-  /// The result of the transaction in progress is not known.
-  bool Doubtful_ = false;
-  bool Running_ = false;
-  base::TimePoint RunningSince_{};
-  bool Unreachable_ = false;
+
   std::optional<base::Transaction> Last_;
   std::vector<base::AccountId> InProgress_;
-  std::vector<EscrowTakeover> Takeovers_;
+  base::TimePoint RunningSince_{};
   base::TimePoint NotBefore_{};
   base::TimePoint WroteAt_{};
-  bool GrantsNext_ = false;
   base::TimePoint RowsAt_{};
-  bool RowsSeen_ = false;
+  std::vector<EscrowTakeover> Takeovers_;
 
   /// The table's time by which this process had started.
   std::optional<milliseconds> StartedBy_;
-  bool HasTableTime_ = false;
   milliseconds TableTime_{0};
   base::TimePoint TableTimeAt_{};
+  bool HasTableTime_ = false;
+
+  bool Loaded_ = false;
+  bool RowsSeen_ = false;
+  bool Closing_ = false;
+  bool Running_ = false;
+  /// The result of the transaction in progress is not known.
+  bool Doubtful_ = false;
+  bool Unreachable_ = false;
+  bool GrantsNext_ = false;
 };
 
 base::Result<Escrow, EscrowError> Escrow::create(EscrowSettings Settings) {
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -374,12 +374,13 @@
                std::size_t First = 0) {
     std::exponential_distribution<> Gap(RequestsPerSecond);
     std::exponential_distribution<> Size(1.0 / MeanSize);
-    double Past = Gap(Random_);
+    double Next = Gap(Random_);
     int Asked = 0;
     int Served = 0;
     for (auto Now = 0ms; Now < For; Now += Step) {
-      for (; Past < std::chrono::duration<double>(Now + Step).count();
-           Past += Gap(Random_)) {
+      const double TurnEnd = std::chrono::duration<double>(Now + Step).count();
+      while (Next < TurnEnd) {
+        Next += Gap(Random_);
         std::size_t Where = First + Random_() % (Routers - First);
         auto Bound = 500 + static_cast<std::int64_t>(Size(Random_));
         Waiting_.push_back({Where, Bound, Patience});
