--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -193,11 +193,12 @@
     if (Since >= Shared_.Settings_.ReadinessNotice_) {
       Shared_.Closed_ = true;
       Server_->stopAccepting();
+      // What open requests do not need goes back at once: the table may be out
+      // of reach by the time that the last of them has ended.
+      Shared_.Escrow_.close();
     }
     bool Idle =
         Shared_.Closed_ && Shared_.Live_.empty() && Server_->inProgress() == 0;
-    if (Idle)
-      Shared_.Escrow_.close();
     if ((Idle && Shared_.Escrow_.closed()) ||
         Since >= Shared_.Settings_.Shutdown_) {
       if (auto Callback = std::exchange(OnStopped_, nullptr))
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -511,6 +511,23 @@
   EXPECT_TRUE(Stopped);
 }
 
+TEST_F(DirectRouterTest, StoppingRouterReturnsWhatOpenRequestsDoNotNeed) {
+  configure(RequestKind::NonIdempotent);
+  addEndpoint({Deed::Silence});
+  net::OriginRequest Request = call();
+  Request.Headers_.add("X-Token-Bounds", "3000,100");
+  Caller_.start(std::move(Request),
+                {[](const auto &) { return net::HeadVerdict::Accept; },
+                 [](auto) {}, [](const auto &) {}});
+  wait(100ms);
+  Router_->stop([] {});
+  wait(300ms);
+  budgetsWork();
+  budget::EscrowStatus Status = Router_->escrow().status(Shop, Owner_->now());
+  EXPECT_EQ(Status.Held_, base::Tokens(3100));
+  EXPECT_EQ(Status.Granted_, Status.Used_ + Status.Held_);
+}
+
 TEST_F(DirectRouterTest, TokensOfACallThatDidNotRunAreFreeAgain) {
   configure(RequestKind::NonIdempotent);
   addEndpoint(std::vector<Deed>(8, Deed::NotExecuted));
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -379,12 +379,16 @@
     double Least =
         std::min(LeastBurst, LeastBurstShare / static_cast<double>(Routers_) *
                                  static_cast<double>(unspent(Of)));
+    Checkpoint Next;
+    Next.Used_ = Of.used();
+    Next.At_ = tableTime(Now);
+    // Nothing is set aside any more.
+    if (Closing_)
+      return Next;
     bool Scarce = isScarce(Of, Now);
     if (Scarce)
       Least = ScarceBurstShare * static_cast<double>(Of.Prepaid_) *
               partOfDemand(Of, Now);
-    Checkpoint Next;
-    Next.Used_ = Of.used();
     Next.Burst_ =
         std::min(Rest, std::max(static_cast<std::int64_t>(Least), Of.Wanted_));
     Next.RatePerSecond_ = static_cast<std::int64_t>(std::ceil(
@@ -393,7 +397,6 @@
     Next.Spread_ = static_cast<std::int64_t>(
         std::ceil(SpreadFactor * std::sqrt(Demand * sizeRatio(Of))));
     Next.Delay_ = Scarce ? ScarceDelay : milliseconds(0);
-    Next.At_ = tableTime(Now);
     return Next;
   }
 
@@ -416,11 +419,14 @@
   }
 
   bool wantsCheckpoint(const AccountState &Of, base::TimePoint Now) const {
-    if (!Of.Known_ || Closing_)
+    if (!Of.Known_)
       return false;
     std::int64_t Rest = Of.Granted_ - Of.used();
     if (!Of.Confirmed_)
-      return Rest > 0;
+      return Rest > 0 && !Closing_;
+    // A return may conflict again and again; this does not.
+    if (Closing_)
+      return Of.Granted_ > 0 && !Of.Confirmed_->allowsNothingMore();
     // A request waits that only the ceiling holds up.
     if (Of.Wanted_ > 0 && Of.Wanted_ <= Rest && Of.Wanted_ > available(Of, Now))
       return true;
@@ -649,6 +655,8 @@
                 base::TimePoint Now) {
   if (!Impl_->Loaded_)
     return base::failure(EscrowRefusal::NotLoaded);
+  if (Impl_->Closing_)
+    return base::failure(EscrowRefusal::Elsewhere);
   AccountState &Of = Impl_->Accounts_[Account];
   std::int64_t Wanted = Bound.count();
   if (Wanted <= Impl_->available(Of, Now)) {
@@ -793,7 +801,11 @@
   return std::exchange(Impl_->Takeovers_, {});
 }
 
-void Escrow::close() { Impl_->Closing_ = true; }
+void Escrow::close() {
+  // A return comes first, and checkpoints only if it conflicts.
+  if (!std::exchange(Impl_->Closing_, true))
+    Impl_->GrantsNext_ = false;
+}
 
 bool Escrow::closed() const {
   if (!Impl_->Loaded_)
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -138,6 +138,16 @@
     On.Escrow_->onTransaction(Result, On.Clock_);
   }
 
+  /// \p On sends a transaction, and before it arrives the total is written.
+  void transactLast(Host &On) {
+    auto Next = On.Escrow_->nextTransaction(On.Clock_);
+    for (const base::Row &Each : Table_.scan(Now_).Rows_)
+      if (Each.Key_.starts_with(Escrow::TotalPrefix))
+        Table_.apply({{}, {{Each.Key_, Each.Value_}}}, Now_);
+    if (Next)
+      On.Escrow_->onTransaction(Table_.apply(*Next, Now_), On.Clock_);
+  }
+
   void applyLate() {
     if (Late_.empty())
       return;
@@ -581,6 +591,24 @@
   EXPECT_EQ(Other.Escrow_->status(Shop, Other.Clock_).GrantedToAll_, Held);
 }
 
+TEST_F(EscrowTest, ARouterThatCannotReturnItsSliceStrandsNothing) {
+  World_.heal(1s);
+  Host &Leaving = World_.host(0);
+  World_.reserve(Leaving, 5000);
+  Leaving.Escrow_->close();
+  World_.reserve(Leaving, 5000);
+  EXPECT_EQ(World_.exposed(), 5000);
+  for (int Round = 0; Round < 10; ++Round) {
+    World_.advance(300ms);
+    World_.transactLast(Leaving);
+  }
+  World_.advance(5s);
+  World_.kill(Leaving);
+  World_.read(Leaving);
+  EscrowStatus Status = Leaving.Escrow_->status(Shop, Leaving.Clock_);
+  EXPECT_LE(Status.Used_, Tokens(5000));
+}
+
 TEST_F(EscrowTest, ALoweredBudgetBindsEverySlice) {
   World_.heal(1s);
   constexpr std::int64_t Lowered = Prepaid / 10;
