--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -59,7 +59,7 @@
 constexpr double LeastBurstShare = 0.04;
 /// An account whose budget lasts for less than this at its present demand gets
 /// tighter ceilings: what a kill strands then is missing before the day ends.
-constexpr std::chrono::duration<double> ScarceTime{15.0};
+constexpr std::chrono::duration<double> ScarceTime{20.0};
 /// Part of a scarce budget that all routers together may spend between
 /// checkpoints while the delay lasts, and so the most that a kill of all of
 /// them strands if they are back by then.
