Respect what endpoints state about themselves

Cause: a router learned of a leaving endpoint only from the endpoint list, which lags or may be out of reach, and an entry of the same start could bring a draining endpoint back. An endpoint's Retry-After beside 503 was ignored.

Change: a response with the leaving header makes the endpoint unusable at once and for the rest of that start; the same now holds for a draining entry. A Retry-After beside 503 keeps the endpoint from being chosen until its end; if all endpoints ask for that, callers are refused at once with the time left. Malformed values are logged and ignored, absurd times are bounded.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -44,6 +44,62 @@
   return Pools_.emplace(Id, std::move(State)).first->second;
 }
 
+void ForwardingContext::endpointLeaving(const base::EndpointId &Id) {
+  Endpoints_.markLeaving(Id);
+  applyEndpointChanges();
+}
+
+void ForwardingContext::applyEndpointChanges() {
+  base::TimePoint Now = Loop_.now();
+  for (const EndpointChange &Each : Endpoints_.takeChanges()) {
+    const ListedEndpoint &Entry = Each.Endpoint_;
+    auto &Selector = poolState(Entry.Pool_).Selector_;
+    if (Each.DepartureReason_) {
+      Selector.remove(Entry.Endpoint_);
+      if (*Each.DepartureReason_ == DepartureReason::Restarted)
+        Selector.clearHoldOff(Entry.Endpoint_);
+      Origins_.dropIdle(Entry.Address_);
+      observe::log(LogLevel::Info, "endpoint_left",
+                   {{"endpoint", Entry.Endpoint_.str()},
+                    {"reason", toString(*Each.DepartureReason_)}});
+      continue;
+    }
+    Selector.addOrUpdate({Entry.Endpoint_, Entry.Domain_, Entry.Slots_,
+                          cacheTokens(Entry.Pool_)},
+                         Now);
+    limitConnections(Entry);
+    observe::log(LogLevel::Info, "endpoint_usable",
+                 {{"endpoint", Entry.Endpoint_.str()},
+                  {"pool", Entry.Pool_.str()},
+                  {"address", base::toString(Entry.Address_)},
+                  {"slots", Entry.Slots_}});
+  }
+}
+
+const Pool *ForwardingContext::findPoolConfig(const base::PoolId &Id) const {
+  const ViewPtr &Current = View_.current();
+  return Current ? Current->findPool(Id) : nullptr;
+}
+
+std::uint64_t ForwardingContext::cacheTokens(const base::PoolId &Id) const {
+  const Pool *Config = findPoolConfig(Id);
+  return Config && Config->HasEngines_
+             ? static_cast<std::uint64_t>(Config->EngineCacheTokens_.count())
+             : 0;
+}
+
+void ForwardingContext::limitConnections(const ListedEndpoint &Entry) {
+  const Pool *Config = findPoolConfig(Entry.Pool_);
+  if (!Config)
+    return;
+  double Share = MaxConnectionShare *
+                 static_cast<double>(Config->ConnectionLimit_) /
+                 static_cast<double>(Escrow_.routerCount());
+  Origins_.setConnectionsPerEndpoint(
+      Entry.Address_,
+      std::max(MinConnections, static_cast<std::size_t>(Share)));
+}
+
 struct DirectRouter::Impl {
   Impl(net::Loop &EventLoop, DirectSettings Settings, budget::Escrow Escrow)
       : Context_(EventLoop, std::move(Settings), std::move(Escrow)),
@@ -85,7 +141,7 @@
   void tick() {
     base::TimePoint Now = Context_.Loop_.now();
     Context_.Endpoints_.tick(Now);
-    applyEndpointChanges();
+    Context_.applyEndpointChanges();
     for (auto &[Id, Pool] : Context_.Pools_)
       for (const base::EndpointId &Each : Pool.Selector_.sweep(Now))
         observe::log(LogLevel::Warning, "endpoint_ejected",
@@ -97,55 +153,6 @@
       continueStop(Now);
   }
 
-  void applyEndpointChanges() {
-    base::TimePoint Now = Context_.Loop_.now();
-    for (const EndpointChange &Each : Context_.Endpoints_.takeChanges()) {
-      const ListedEndpoint &Entry = Each.Endpoint_;
-      auto &Selector = Context_.poolState(Entry.Pool_).Selector_;
-      if (Each.DepartureReason_) {
-        Selector.remove(Entry.Endpoint_);
-        Context_.Origins_.dropIdle(Entry.Address_);
-        observe::log(LogLevel::Info, "endpoint_left",
-                     {{"endpoint", Entry.Endpoint_.str()},
-                      {"reason", toString(*Each.DepartureReason_)}});
-        continue;
-      }
-      Selector.addOrUpdate({Entry.Endpoint_, Entry.Domain_, Entry.Slots_,
-                            cacheTokens(Entry.Pool_)},
-                           Now);
-      limitConnections(Entry);
-      observe::log(LogLevel::Info, "endpoint_usable",
-                   {{"endpoint", Entry.Endpoint_.str()},
-                    {"pool", Entry.Pool_.str()},
-                    {"address", base::toString(Entry.Address_)},
-                    {"slots", Entry.Slots_}});
-    }
-  }
-
-  const Pool *findPoolConfig(const base::PoolId &Id) const {
-    const ViewPtr &View = Context_.View_.current();
-    return View ? View->findPool(Id) : nullptr;
-  }
-
-  std::uint64_t cacheTokens(const base::PoolId &Id) const {
-    const Pool *Config = findPoolConfig(Id);
-    return Config && Config->HasEngines_
-               ? static_cast<std::uint64_t>(Config->EngineCacheTokens_.count())
-               : 0;
-  }
-
-  void limitConnections(const ListedEndpoint &Entry) {
-    const Pool *Config = findPoolConfig(Entry.Pool_);
-    if (!Config)
-      return;
-    double Share = MaxConnectionShare *
-                   static_cast<double>(Config->ConnectionLimit_) /
-                   static_cast<double>(Context_.Escrow_.routerCount());
-    Context_.Origins_.setConnectionsPerEndpoint(
-        Entry.Address_,
-        std::max(MinConnections, static_cast<std::size_t>(Share)));
-  }
-
   void offerView(ViewPtr Candidate) {
     std::uint64_t PreviousVersion =
         Context_.View_.current() ? Context_.View_.current()->Version_ : 0;
@@ -270,7 +277,7 @@
 
 EndpointList &DirectRouter::endpoints() { return Inner_->Context_.Endpoints_; }
 void DirectRouter::endpointsChanged() {
-  Inner_->applyEndpointChanges();
+  Inner_->Context_.applyEndpointChanges();
   Inner_->logReadinessChange();
 }
 budget::Escrow &DirectRouter::escrow() { return Inner_->Context_.Escrow_; }
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -59,6 +59,18 @@
   return std::chrono::duration_cast<milliseconds>(Span).count();
 }
 
+RefusalReason refusalReasonOf(routing::PlacementError Error) {
+  switch (Error) {
+  case routing::PlacementError::NoEndpoint:
+    return RefusalReason::NoEndpoint;
+  case routing::PlacementError::TooLate:
+    return RefusalReason::DeadlineUnreachable;
+  case routing::PlacementError::HeldOff:
+    return RefusalReason::Overloaded;
+  }
+  return RefusalReason::Internal;
+}
+
 std::string_view withoutPort(std::string_view Host) {
   return Host.substr(0, Host.find(':'));
 }
@@ -214,10 +226,7 @@
   auto Placement =
       Context_.poolState(Pool_).Selector_.choose(PlacementRequest, Now);
   if (!Placement) {
-    bool DeadlineUnreachable =
-        Placement.error().Error_ == routing::PlacementError::TooLate;
-    refuse(DeadlineUnreachable ? RefusalReason::DeadlineUnreachable
-                               : RefusalReason::NoEndpoint,
+    refuse(refusalReasonOf(Placement.error().Error_),
            Placement.error().RetryAfter_);
     return;
   }
@@ -307,8 +316,8 @@
 }
 
 net::HeadVerdict ForwardedRequest::onHead(const net::OriginHead &Head) {
-  ResponseMetadata Response =
-      parseResponseHeaders(Head.Headers_, Context_.Settings_.Headers_);
+  ResponseMetadata Response = parseResponseHeaders(Head.Status_, Head.Headers_,
+                                                   Context_.Settings_.Headers_);
   constexpr unsigned FirstErrorStatus = 300;
   bool Success = Head.Status_ < FirstErrorStatus;
   bool ForOtherRequest =
@@ -328,6 +337,9 @@
     Selector.loadReported(Attempt_.PoolAttempt_, Response.Load_->Running_,
                           Response.Load_->Waiting_, Now);
   constexpr unsigned MisdirectedRequest = 421;
+  // Another instance than the chosen one answers with 421.
+  if (Head.Status_ != MisdirectedRequest)
+    applyEndpointState(Response, Now);
   Attempt_.HeadReceived_ = true;
   Attempt_.LastByteAt_ = Now;
   Attempt_.Status_ = Head.Status_;
@@ -340,6 +352,25 @@
   return net::HeadVerdict::Accept;
 }
 
+void ForwardedRequest::applyEndpointState(const ResponseMetadata &Response,
+                                          base::TimePoint Now) {
+  const std::string &Endpoint = Placement_.Endpoint_.str();
+  for (const std::string &Each : Response.Malformed_)
+    observe::log(LogLevel::Warning, "answer_header_malformed",
+                 {{"request", RequestMetadata_.AttemptId_},
+                  {"endpoint", Endpoint},
+                  {"header", Each}});
+  if (Response.HoldOff_) {
+    Context_.poolState(Pool_).Selector_.holdOff(Placement_.Endpoint_,
+                                                Now + *Response.HoldOff_);
+    observe::log(
+        LogLevel::Info, "endpoint_held_off",
+        {{"endpoint", Endpoint}, {"for_ms", Response.HoldOff_->count()}});
+  }
+  if (Response.Leaving_)
+    Context_.endpointLeaving(Placement_.Endpoint_);
+}
+
 void ForwardedRequest::onBody(std::string_view Data) {
   base::TimePoint Now = Context_.Loop_.now();
   Attempt_.LastByteAt_ = Now;
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -74,6 +74,9 @@
                                   const routing::Placement &Placement);
 
   net::HeadVerdict onHead(const net::OriginHead &Head);
+  /// Applies what the chosen endpoint states about itself in a response.
+  void applyEndpointState(const ResponseMetadata &Response,
+                          base::TimePoint Now);
   void onBody(std::string_view Data);
   void onEvents(const std::string &Events);
   void onEnd(const base::Result<void, net::OriginError> &Result);
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -41,11 +41,22 @@
 
   /// Returns the state of the pool; creates it on first use.
   PoolState &poolState(const base::PoolId &Id);
+  /// Sends no more requests to an endpoint that states that it is about to shut
+  /// down. Requests that it has already received go on.
+  void endpointLeaving(const base::EndpointId &Id);
+  /// Takes the changes of Endpoints_ over into the pools.
+  void applyEndpointChanges();
   /// Returns a copy of OpenRequests_, since requests may end during iteration.
   std::vector<std::shared_ptr<ForwardedRequest>> openRequests() const {
     return {OpenRequests_.begin(), OpenRequests_.end()};
   }
 
+private:
+  const Pool *findPoolConfig(const base::PoolId &Id) const;
+  std::uint64_t cacheTokens(const base::PoolId &Id) const;
+  void limitConnections(const ListedEndpoint &Entry);
+
+public:
   net::Loop &Loop_;
   DirectSettings Settings_;
   ViewHolder View_;
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -38,6 +38,13 @@
   /// Aborts the stream after one event and part of the next.
   TruncatedStream,
   NoResponse,
+  /// Responds normally and states that it is about to shut down.
+  RespondLeaving,
+  /// Refuses, states that it is about to shut down, and does not run the
+  /// request.
+  RefuseLeaving,
+  /// Does not run the request and wants no more for 0.6 s.
+  HoldOff,
 };
 
 /// Behaviors for successive requests, whichever endpoint receives them. Once
@@ -98,6 +105,17 @@
     case EndpointBehavior::CompleteStream:
     case EndpointBehavior::TruncatedStream:
       return sendStream(Exchange, Next == EndpointBehavior::TruncatedStream);
+    case EndpointBehavior::RespondLeaving: {
+      net::HttpHeaders Headers = responseHeaders();
+      Headers.add("X-Leaving", "1");
+      return Exchange->respond({200, Headers, "whole"});
+    }
+    case EndpointBehavior::RefuseLeaving:
+      return Exchange->respond(
+          {503, {{"X-Not-Executed", "1"}, {"X-Leaving", "1"}}, ""});
+    case EndpointBehavior::HoldOff:
+      return Exchange->respond(
+          {503, {{"X-Not-Executed", "1"}, {"Retry-After", "0.6"}}, ""});
     case EndpointBehavior::NoResponse:
       OpenExchanges_.push_back(Exchange);
     }
@@ -386,6 +404,50 @@
                     EndpointBehavior::CompleteStream, 502, "", 1}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+TEST_F(DirectRouterTest, EndpointThatSaysItLeavesGetsNoFurtherRequest) {
+  configure(RequestKind::Idempotent);
+  addEndpoint({EndpointBehavior::RespondLeaving});
+  EXPECT_EQ(fetch(makeCall()).Body_, "whole");
+  // The list of endpoints still has the entry, and repeats it.
+  ListedEndpoint Entry;
+  Entry.Endpoint_ = base::EndpointId("e1");
+  Entry.Pool_ = base::PoolId("pool");
+  Entry.Address_ = Endpoints_[0]->address();
+  Entry.Domain_ = base::FailureDomainId("here");
+  Entry.Slots_ = 8;
+  Router_->endpoints().put(Entry, Loop_->now());
+  Router_->endpointsChanged();
+  EXPECT_EQ(fetch(makeCall()).Status_, 503u);
+  EXPECT_EQ(receivedRequests(), 1u);
+}
+
+TEST_F(DirectRouterTest, RefusalOfALeavingEndpointMovesTheRequest) {
+  configure(RequestKind::NonIdempotent);
+  addEndpoint({EndpointBehavior::RefuseLeaving});
+  addEndpoint();
+  for (int Call = 0; Call < 3; ++Call)
+    EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+  EXPECT_EQ(receivedRequests(), 4u);
+  EXPECT_EQ(std::min(Endpoints_[0]->Requests_.size(),
+                     Endpoints_[1]->Requests_.size()),
+            1u);
+}
+
+TEST_F(DirectRouterTest, EndpointThatAsksForTimeGetsItAndCallersAreTold) {
+  configure(RequestKind::Idempotent);
+  addEndpoint({EndpointBehavior::HoldOff});
+  CallerResponse Refused = fetch(makeCall());
+  EXPECT_EQ(Refused.Status_, 503u);
+  double RetryAfter = std::stod(
+      std::string(Refused.Headers_.find("Retry-After").value_or("0")));
+  EXPECT_GE(RetryAfter, 0.5);
+  EXPECT_EQ(fetch(makeCall()).Status_, 503u);
+  EXPECT_EQ(receivedRequests(), 1u);
+  wait(700ms);
+  EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+  EXPECT_EQ(receivedRequests(), 2u);
+}
+
 TEST_F(DirectRouterTest, BrokenStreamResumesAfterItsLastCompleteEvent) {
   configure(RequestKind::Stream, true);
   addEndpoint(
--- a/libs/direct/include/camphorwind/direct/endpoint-list.h
+++ b/libs/direct/include/camphorwind/direct/endpoint-list.h
@@ -36,6 +36,8 @@
 /// Why an endpoint became unusable.
 enum class DepartureReason {
   Draining,
+  /// It stated in a response that it is about to shut down.
+  Leaving,
   /// Its entry is missing from the list.
   Unlisted,
   /// It restarted or moved to another address or pool, so that its known
@@ -70,6 +72,10 @@
   /// after the list becomes readable again, the entry stays usable until tick()
   /// finds that period over.
   void remove(const base::EndpointId &Endpoint, base::TimePoint Now);
+  /// Removes an endpoint that stated in a response that it is about to shut
+  /// down. Later entries of the same start are ignored, even if they say
+  /// otherwise: the list may lag behind the endpoint.
+  void markLeaving(const base::EndpointId &Endpoint);
   /// Replaces all entries by a complete read of the list.
   void replace(const std::vector<ListedEndpoint> &Entries, base::TimePoint Now);
   /// Sets whether the list can be read.
@@ -88,8 +94,15 @@
 
 private:
   void markUnusable(const base::EndpointId &Endpoint, DepartureReason Reason);
+  /// Whether the endpoint has begun to shut down since the start that \p Entry
+  /// is about.
+  bool hasDeparted(const ListedEndpoint &Entry) const;
 
   std::map<base::EndpointId, ListedEndpoint> Usable_;
+  /// Latest start of each endpoint that is known to be shutting down, which is
+  /// final for that start. Kept after the entry is gone, because an outdated
+  /// entry may appear later; a few dozen bytes for each departed endpoint.
+  std::map<base::EndpointId, ListedEndpoint> Departed_;
   /// Missing entries that are still usable, with the end of the grace period.
   std::map<base::EndpointId, base::TimePoint> MissingUntil_;
   std::vector<EndpointChange> Changes_;
--- a/libs/direct/include/camphorwind/direct/headers.h
+++ b/libs/direct/include/camphorwind/direct/headers.h
@@ -45,6 +45,8 @@
   std::string NotExecuted_ = "X-Not-Executed";
   /// Running requests, waiting requests and slots, such as `3,0,8`.
   std::string Load_ = "X-Load";
+  /// `1` in all responses of an endpoint that is about to shut down.
+  std::string Leaving_ = "X-Leaving";
   /// Further headers that only routers may set; they are removed from callers'
   /// requests.
   std::vector<std::string> Reserved_;
@@ -104,11 +106,23 @@
   /// Empty if absent.
   std::string AttemptId_;
   std::optional<EndpointLoad> Load_;
+  /// The endpoint is about to shut down and accepts no new requests.
+  bool Leaving_ = false;
+  /// Time for which the endpoint wants no more requests from this router, at
+  /// most MaxHoldOff. Only read from a response with status 503.
+  std::optional<std::chrono::milliseconds> HoldOff_;
+  /// Names of the headers above whose value can't be parsed.
+  std::vector<std::string> Malformed_;
 };
 
-/// Parses the headers of an endpoint's response. Absent headers leave their
-/// values unset, as does a load header without exactly three numbers.
-ResponseMetadata parseResponseHeaders(const net::HttpHeaders &Headers,
+/// Upper bound of `ResponseMetadata::HoldOff_`, so that an endpoint that states
+/// an absurd time is eventually used again.
+inline constexpr std::chrono::milliseconds MaxHoldOff = std::chrono::minutes(5);
+
+/// Parses the headers of an endpoint's response with status \p Status. Absent
+/// and malformed headers leave their values unset.
+ResponseMetadata parseResponseHeaders(unsigned Status,
+                                      const net::HttpHeaders &Headers,
                                       const HeaderNames &Names);
 
 /// Returns the response headers to forward to the caller: the endpoint's,
--- a/libs/direct/src/endpoint-list.cpp
+++ b/libs/direct/src/endpoint-list.cpp
@@ -9,6 +9,8 @@
   switch (Reason) {
   case DepartureReason::Draining:
     return "draining";
+  case DepartureReason::Leaving:
+    return "leaving";
   case DepartureReason::Unlisted:
     return "unlisted";
   case DepartureReason::Restarted:
@@ -17,6 +19,15 @@
   return "unknown";
 }
 
+namespace {
+
+bool isSameStart(const ListedEndpoint &Left, const ListedEndpoint &Right) {
+  return Left.StartId_ == Right.StartId_ && Left.Address_ == Right.Address_ &&
+         Left.Pool_ == Right.Pool_;
+}
+
+} // namespace
+
 void EndpointList::markUnusable(const base::EndpointId &Endpoint,
                                 DepartureReason Reason) {
   MissingUntil_.erase(Endpoint);
@@ -27,20 +38,33 @@
   Usable_.erase(Found);
 }
 
+bool EndpointList::hasDeparted(const ListedEndpoint &Entry) const {
+  auto Found = Departed_.find(Entry.Endpoint_);
+  return Found != Departed_.end() && isSameStart(Found->second, Entry);
+}
+
+void EndpointList::markLeaving(const base::EndpointId &Endpoint) {
+  auto Found = Usable_.find(Endpoint);
+  if (Found == Usable_.end())
+    return;
+  Departed_.insert_or_assign(Endpoint, Found->second);
+  markUnusable(Endpoint, DepartureReason::Leaving);
+}
+
 void EndpointList::put(const ListedEndpoint &Entry, base::TimePoint) {
   if (Entry.Draining_) {
+    Departed_.insert_or_assign(Entry.Endpoint_, Entry);
     markUnusable(Entry.Endpoint_, DepartureReason::Draining);
     return;
   }
+  if (hasDeparted(Entry))
+    return;
   MissingUntil_.erase(Entry.Endpoint_);
   auto Found = Usable_.find(Entry.Endpoint_);
   if (Found != Usable_.end()) {
     if (Found->second == Entry)
       return;
-    bool SameInstance = Found->second.StartId_ == Entry.StartId_ &&
-                        Found->second.Address_ == Entry.Address_ &&
-                        Found->second.Pool_ == Entry.Pool_;
-    if (!SameInstance)
+    if (!isSameStart(Found->second, Entry))
       markUnusable(Entry.Endpoint_, DepartureReason::Restarted);
   }
   Usable_.insert_or_assign(Entry.Endpoint_, Entry);
--- a/libs/direct/src/headers.cpp
+++ b/libs/direct/src/headers.cpp
@@ -97,6 +97,17 @@
   return PromptParts;
 }
 
+/// Parses a number of seconds, which may have a fraction.
+std::optional<std::chrono::milliseconds> parseHoldOff(std::string_view Text) {
+  auto Seconds = parseNumber<double>(Text);
+  // The negation also rejects NaN.
+  if (!Seconds || !(*Seconds >= 0))
+    return std::nullopt;
+  std::chrono::duration<double> Bounded(
+      std::min(*Seconds, std::chrono::duration<double>(MaxHoldOff).count()));
+  return std::chrono::ceil<std::chrono::milliseconds>(Bounded);
+}
+
 } // namespace
 
 RequestMetadata parseRequestHeaders(const net::HttpHeaders &Headers,
@@ -166,7 +177,8 @@
   return Forwarded;
 }
 
-ResponseMetadata parseResponseHeaders(const net::HttpHeaders &Headers,
+ResponseMetadata parseResponseHeaders(unsigned Status,
+                                      const net::HttpHeaders &Headers,
                                       const HeaderNames &Names) {
   ResponseMetadata Metadata;
   Metadata.Signed_ = Headers.find(Names.Signature_).has_value();
@@ -181,6 +193,22 @@
     constexpr std::size_t LoadFieldCount = 3;
     if (Counts.size() == LoadFieldCount)
       Metadata.Load_ = EndpointLoad{Counts[0], Counts[1], Counts[2]};
+    else
+      Metadata.Malformed_.push_back(Names.Load_);
+  }
+  if (auto FieldValue = Headers.find(Names.Leaving_)) {
+    std::string_view Value = trim(*FieldValue);
+    Metadata.Leaving_ = Value == "1";
+    if (Value != "1" && Value != "0")
+      Metadata.Malformed_.push_back(Names.Leaving_);
+  }
+  constexpr unsigned ServiceUnavailable = 503;
+  constexpr const char *RetryAfter = "Retry-After";
+  if (auto FieldValue = Headers.find(RetryAfter);
+      FieldValue && Status == ServiceUnavailable) {
+    Metadata.HoldOff_ = parseHoldOff(*FieldValue);
+    if (!Metadata.HoldOff_)
+      Metadata.Malformed_.emplace_back(RetryAfter);
   }
   return Metadata;
 }
--- a/libs/direct/test/endpoint-list-test.cpp
+++ b/libs/direct/test/endpoint-list-test.cpp
@@ -46,6 +46,69 @@
   EXPECT_EQ(Changes[1].DepartureReason_, std::nullopt);
 }
 
+/// An entry that arrives after the endpoint began to shut down.
+struct EntryAfterDepartureCase {
+  std::string Name_;
+  /// Whether the endpoint said so in a response or by a draining entry.
+  bool InResponse_ = true;
+  std::string NewStartId_;
+  /// The list of endpoints was read again as a whole, first without the
+  /// endpoint.
+  bool Reread_ = false;
+  bool Usable_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out,
+                         const EntryAfterDepartureCase &Value) {
+  return Out << Value.Name_;
+}
+
+class EntryAfterDepartureTest
+    : public testing::TestWithParam<EntryAfterDepartureCase> {};
+
+TEST_P(EntryAfterDepartureTest, IsIgnoredUnlessTheEndpointStartedAgain) {
+  const EntryAfterDepartureCase &Case = GetParam();
+  EndpointList List;
+  List.replace({makeEntry()}, Start);
+  if (Case.InResponse_)
+    List.markLeaving(TestEndpoint);
+  else
+    List.put(makeEntry(true), Start);
+  EXPECT_EQ(List.find(TestEndpoint), nullptr);
+  EXPECT_EQ(List.takeChanges().back().DepartureReason_,
+            Case.InResponse_ ? DepartureReason::Leaving
+                             : DepartureReason::Draining);
+  ListedEndpoint Late = makeEntry(false, Case.NewStartId_);
+  if (Case.Reread_) {
+    List.replace({}, Start + 1s);
+    List.replace({Late}, Start + 2s);
+  } else {
+    List.put(Late, Start + 1s);
+  }
+  EXPECT_EQ(List.find(TestEndpoint) != nullptr, Case.Usable_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Entries, EntryAfterDepartureTest,
+    testing::Values(
+        EntryAfterDepartureCase{"leaving_same_start", true, "1", false, false},
+        EntryAfterDepartureCase{"leaving_same_start_reread", true, "1", true,
+                                false},
+        EntryAfterDepartureCase{"leaving_new_start", true, "2", false, true},
+        EntryAfterDepartureCase{"draining_same_start", false, "1", false,
+                                false},
+        EntryAfterDepartureCase{"draining_same_start_reread", false, "1", true,
+                                false},
+        EntryAfterDepartureCase{"draining_new_start", false, "2", true, true}),
+    [](const auto &Info) { return Info.param.Name_; });
+
+TEST(EndpointListTest, LeavingOfAnUnlistedEndpointHasNoEffect) {
+  EndpointList List;
+  List.replace({}, Start);
+  List.markLeaving(TestEndpoint);
+  EXPECT_TRUE(List.takeChanges().empty());
+}
+
 TEST(EndpointListTest, RemovesMissingEntryAtOnceWhileReachable) {
   EndpointList List;
   List.replace({makeEntry()}, Start);
--- a/libs/direct/test/headers-test.cpp
+++ b/libs/direct/test/headers-test.cpp
@@ -132,7 +132,7 @@
                            {"X-Signature", "s"},
                            {"X-Not-Executed", "1"},
                            {"X-Attempt-Id", "a1"}};
-  ResponseMetadata Metadata = parseResponseHeaders(Headers, HeaderNames());
+  ResponseMetadata Metadata = parseResponseHeaders(200, Headers, HeaderNames());
   ASSERT_TRUE(Metadata.Load_);
   EXPECT_EQ(Metadata.Load_->Running_, 3u);
   EXPECT_EQ(Metadata.Load_->Waiting_, 1u);
@@ -140,6 +140,64 @@
   EXPECT_TRUE(Metadata.Signed_);
   EXPECT_TRUE(Metadata.NotExecuted_);
   EXPECT_EQ(Metadata.AttemptId_, "a1");
+  EXPECT_FALSE(Metadata.Leaving_);
+  EXPECT_EQ(Metadata.HoldOff_, std::nullopt);
+  EXPECT_TRUE(Metadata.Malformed_.empty());
 }
 
+/// A response header by which an endpoint states something about itself.
+struct EndpointStateCase {
+  std::string Name_;
+  unsigned Status_ = 200;
+  std::string Header_;
+  std::string Value_;
+  bool Leaving_ = false;
+  std::optional<std::chrono::milliseconds> HoldOff_;
+  bool Malformed_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out, const EndpointStateCase &Value) {
+  return Out << Value.Name_;
+}
+
+class EndpointStateTest : public testing::TestWithParam<EndpointStateCase> {};
+
+TEST_P(EndpointStateTest, IsParsedOrReportedAsMalformed) {
+  const EndpointStateCase &Case = GetParam();
+  ResponseMetadata Metadata = parseResponseHeaders(
+      Case.Status_, {{Case.Header_, Case.Value_}}, HeaderNames());
+  EXPECT_EQ(Metadata.Leaving_, Case.Leaving_);
+  EXPECT_EQ(Metadata.HoldOff_, Case.HoldOff_);
+  EXPECT_EQ(Metadata.Malformed_.size(), Case.Malformed_ ? 1u : 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Headers, EndpointStateTest,
+    testing::Values(
+        EndpointStateCase{"leaving", 200, "X-Leaving", "1", true},
+        EndpointStateCase{"leaving_in_refusal", 503, "X-Leaving", " 1 ", true},
+        EndpointStateCase{"not_leaving", 200, "X-Leaving", "0"},
+        EndpointStateCase{"leaving_text", 200, "X-Leaving", "yes", false,
+                          std::nullopt, true},
+        EndpointStateCase{"hold_off", 503, "Retry-After", "2", false, 2000ms},
+        EndpointStateCase{"hold_off_fraction", 503, "Retry-After", "0.75",
+                          false, 750ms},
+        EndpointStateCase{"hold_off_in_success", 200, "Retry-After", "2",
+                          false},
+        EndpointStateCase{"hold_off_year", 503, "Retry-After", "31536000",
+                          false, MaxHoldOff},
+        EndpointStateCase{"hold_off_huge", 503, "Retry-After", "1e300", false,
+                          MaxHoldOff},
+        EndpointStateCase{"hold_off_negative", 503, "Retry-After", "-1", false,
+                          std::nullopt, true},
+        EndpointStateCase{"hold_off_nan", 503, "Retry-After", "nan", false,
+                          std::nullopt, true},
+        EndpointStateCase{"hold_off_text", 503, "Retry-After", "soon", false,
+                          std::nullopt, true},
+        EndpointStateCase{"hold_off_empty", 503, "Retry-After", "", false,
+                          std::nullopt, true},
+        EndpointStateCase{"load_text", 200, "X-Load", "3,x,8", false,
+                          std::nullopt, true}),
+    [](const auto &Info) { return Info.param.Name_; });
+
 } // namespace
--- a/libs/routing/include/camphorwind/routing/direct-pool.h
+++ b/libs/routing/include/camphorwind/routing/direct-pool.h
@@ -98,6 +98,7 @@
 enum class PlacementError {
   NoEndpoint, ///< The pool is empty, or all its endpoints are excluded.
   TooLate,    ///< No answer is expected to begin before the deadline.
+  HeldOff,    ///< All endpoints left want no requests for a while.
 };
 
 /// A request without an endpoint, and the delay before a retry may succeed.
@@ -127,6 +128,12 @@
   /// Sets the number of routers that send to the pool, including this router.
   void setRouterCount(std::size_t Count);
 
+  /// Sends the endpoint nothing before \p Until, because it asked for that.
+  /// Applies also if the endpoint is removed and added again meanwhile.
+  void holdOff(const base::EndpointId &Endpoint, base::TimePoint Until);
+  /// Ends the hold-off of an endpoint, for one that has started again.
+  void clearHoldOff(const base::EndpointId &Endpoint);
+
   /// Chooses the endpoint with the lowest cost for \p Request. Silent
   /// endpoints, and ejected ones not due for a probe, are chosen only if no
   /// other is left. Records nothing: call sent() once the request is on its
@@ -156,8 +163,9 @@
   /// Returns whether the endpoint has requests in flight and has sent no byte
   /// for SilenceTimeout_; see DirectPoolOptions.
   bool silent(const base::EndpointId &Endpoint, base::TimePoint Now) const;
-  /// Ejects silent endpoints as far as the pool's ejection limit allows, and
-  /// returns those newly ejected. Call about every 100 ms.
+  /// Forgets hold-offs that have ended. Ejects silent endpoints as far as the
+  /// pool's ejection limit allows, and returns those newly ejected. Call about
+  /// every 100 ms.
   std::vector<base::EndpointId> sweep(base::TimePoint Now);
   /// Returns the number of endpoints, including ejected ones.
   std::size_t size() const;
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -203,6 +203,15 @@
     return Best;
   }
 
+  /// Returns the end of the endpoint's hold-off, if it has not passed.
+  std::optional<base::TimePoint> heldOffUntil(const base::EndpointId &Id,
+                                              base::TimePoint Now) const {
+    auto Found = HeldOffUntil_.find(Id);
+    if (Found == HeldOffUntil_.end() || Now >= Found->second)
+      return std::nullopt;
+    return Found->second;
+  }
+
   bool isExcluded(const PlacementRequest &Request,
                   const Endpoint &Target) const {
     return std::find(Request.Excluded_.begin(), Request.Excluded_.end(),
@@ -316,6 +325,8 @@
   DirectPoolOptions Options_;
   Ejector Ejector_;
   std::unordered_map<base::EndpointId, std::unique_ptr<Endpoint>> Endpoints_;
+  /// End of the hold-off of each endpoint that has asked for one.
+  std::unordered_map<base::EndpointId, base::TimePoint> HeldOffUntil_;
   std::vector<EndpointIndex> FreeIndices_;
   EndpointIndex NextIndex_ = 0;
   std::vector<std::uint64_t> Generations_;
@@ -363,6 +374,16 @@
   Impl_->Endpoints_.erase(Found);
 }
 
+void DirectPool::holdOff(const base::EndpointId &Endpoint,
+                         base::TimePoint Until) {
+  base::TimePoint &Current = Impl_->HeldOffUntil_[Endpoint];
+  Current = std::max(Current, Until);
+}
+
+void DirectPool::clearHoldOff(const base::EndpointId &Endpoint) {
+  Impl_->HeldOffUntil_.erase(Endpoint);
+}
+
 void DirectPool::setRouterCount(std::size_t Count) {
   Impl_->Options_.Routers_ = std::max<std::size_t>(1, Count);
 }
@@ -376,7 +397,12 @@
     Holder = Impl_->bestHolder(Request.Prompt_, Now);
   std::optional<Impl::Candidate> Best;
   std::optional<Impl::Candidate> BestUnusable;
+  std::optional<base::TimePoint> HeldOffUntil;
   for (auto &[Id, Each] : Impl_->Endpoints_) {
+    if (auto Until = Impl_->heldOffUntil(Id, Now)) {
+      HeldOffUntil = std::min(HeldOffUntil.value_or(*Until), *Until);
+      continue;
+    }
     if (Impl_->isExcluded(Request, *Each))
       continue;
     Impl::Candidate Evaluated =
@@ -389,6 +415,9 @@
   }
   if (!Best)
     Best = BestUnusable;
+  if (!Best && HeldOffUntil)
+    return base::failure(
+        PlacementFailure{PlacementError::HeldOff, *HeldOffUntil - Now});
   if (!Best) {
     constexpr std::chrono::milliseconds NoEndpointWait{1000};
     return base::failure(
@@ -524,6 +553,8 @@
 }
 
 std::vector<base::EndpointId> DirectPool::sweep(base::TimePoint Now) {
+  std::erase_if(Impl_->HeldOffUntil_,
+                [Now](const auto &Each) { return Now >= Each.second; });
   std::vector<base::EndpointId> Ejected;
   for (auto &[Id, Each] : Impl_->Endpoints_)
     if (Impl_->silent(*Each, Now) &&
--- a/libs/routing/test/direct-pool-test.cpp
+++ b/libs/routing/test/direct-pool-test.cpp
@@ -302,5 +302,64 @@
   EXPECT_EQ(Pool_.inFlight(engine(0)), 0u);
 }
 
+/// The first of two endpoints asked for 2 s without requests.
+struct HoldOffCase {
+  std::string Name_;
+  std::chrono::milliseconds ChosenAfter_;
+  /// The endpoint was removed and added again after it had asked.
+  bool Readded_ = false;
+  /// It was found to have started again.
+  bool Restarted_ = false;
+  bool Usable_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out, const HoldOffCase &Value) {
+  return Out << Value.Name_;
+}
+
+class HoldOffTest : public DirectPoolTest,
+                    public testing::WithParamInterface<HoldOffCase> {};
+
+TEST_P(HoldOffTest, EndpointGetsNothingBeforeItsEnd) {
+  const HoldOffCase &Case = GetParam();
+  addPlainHosts(1);
+  Pool_.holdOff(engine(0), Now_ + 2s);
+  if (Case.Readded_) {
+    Pool_.remove(engine(0));
+    if (Case.Restarted_)
+      Pool_.clearHoldOff(engine(0));
+    Pool_.addOrUpdate({engine(0), OwnDomain, 6, 0}, Now_);
+  }
+  Now_ += Case.ChosenAfter_;
+  Pool_.sweep(Now_);
+  auto Chosen = Pool_.choose(plainCall(), Now_);
+  EXPECT_EQ(static_cast<bool>(Chosen), Case.Usable_);
+  if (!Chosen) {
+    EXPECT_EQ(Chosen.error().Error_, PlacementError::HeldOff);
+    EXPECT_EQ(Chosen.error().RetryAfter_, 2s - Case.ChosenAfter_);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Times, HoldOffTest,
+    testing::Values(HoldOffCase{"at_once", 0ms},
+                    HoldOffCase{"just_before_the_end", 1999ms},
+                    HoldOffCase{"after_the_end", 2001ms, false, false, true},
+                    HoldOffCase{"added_again", 1s, true},
+                    HoldOffCase{"started_again", 1s, true, true, true}),
+    [](const auto &Info) { return Info.param.Name_; });
+
+TEST_F(DirectPoolTest, OneEndpointThatShedsLoadLeavesItsRequestsToTheOthers) {
+  addPlainHosts(3);
+  Pool_.holdOff(engine(1), Now_ + 2s);
+  Pool_.holdOff(engine(1), Now_ + 1s);
+  for (int Call = 0; Call < 40; ++Call) {
+    SentRequest Sent = start(plainCall());
+    EXPECT_NE(Sent.Placement_.Endpoint_, engine(1));
+    Now_ += 45ms;
+    Pool_.finished(Sent.Attempt_, Now_);
+  }
+}
+
 } // namespace
 } // namespace camphorwind::routing
