Keep spend within prepaid when the table is restored from a copy

Cause: a store that comes back from a copy loses the latest draws, and gives versions out again. Routers drew what others already held, a feed went on over lost changes, and a full read of the restored store was taken for a stale one for ever.

Change: answers carry the store's era. Keys of budget rows contain it, so that a transaction from before a restore cannot change rows written after it. Routers go on spending from their slices, write them again, and draw nothing before all routers that ran at the restore have done so; what one that does not answer may have drawn counts as spent. Feeds read all rows again; the endpoint list ignores entries that were removed since the copy until they are written again.

--- a/daemons/direct/escrow-driver.h
+++ b/daemons/direct/escrow-driver.h
@@ -55,6 +55,7 @@
       NextReadAt_ = Loop_.now() + ReadRetryDelay;
     setReachable(Ok);
     Router_.escrow().onRows(Read, SentAt, Loop_.now());
+    logRecovery();
     for (const budget::EscrowTakeover &Each : Router_.escrow().takeTakeovers())
       observe::log(observe::LogLevel::Info, "slice_taken_over",
                    {{"account", Each.Account_.str()},
@@ -74,9 +75,23 @@
       observe::log(observe::LogLevel::Info, "budget_conflict",
                    {{"rows", Result.Current_.size()}});
     Router_.escrow().onTransaction(Result, Loop_.now());
+    logRecovery();
     Router_.escrowChanged();
   }
 
+  void logRecovery() {
+    std::uint64_t Era = Router_.escrow().era();
+    if (Era != LoggedEra_)
+      observe::log(observe::LogLevel::Info, "budget_table_era",
+                   {{"era", Era}, {"before", LoggedEra_}});
+    LoggedEra_ = Era;
+    budget::EscrowRecovery Recovery = Router_.escrow().recovery();
+    if (Recovery != LoggedRecovery_)
+      observe::log(observe::LogLevel::Warning, "budget_recovery",
+                   {{"era", Era}, {"state", budget::toString(Recovery)}});
+    LoggedRecovery_ = Recovery;
+  }
+
   void setReachable(bool Reachable) {
     if (std::exchange(Reachable_, Reachable) == Reachable)
       return;
@@ -92,6 +107,8 @@
   bool ReadInProgress_ = false;
   bool Reachable_ = true;
   base::TimePoint NextReadAt_{};
+  std::uint64_t LoggedEra_ = 0;
+  budget::EscrowRecovery LoggedRecovery_ = budget::EscrowRecovery::None;
 };
 
 } // namespace camphorwind::direct
--- a/libs/base/include/camphorwind/base/table.h
+++ b/libs/base/include/camphorwind/base/table.h
@@ -62,6 +62,8 @@
   std::vector<Row> Current_;
   /// The table's own steady clock as it answered, if it states one.
   std::optional<std::chrono::milliseconds> TableTime_;
+  /// See ReadResult::Era_.
+  std::optional<std::uint64_t> Era_;
 };
 
 /// How a read ended.
@@ -73,6 +75,10 @@
   std::vector<Row> Rows_;
   /// The table's own steady clock as it answered, if it states one.
   std::optional<std::chrono::milliseconds> TableTime_;
+  /// Rises each time the table was restored from a copy, which loses the latest
+  /// writes and gives their versions out again. Unset if the table does not
+  /// state it or did not answer.
+  std::optional<std::uint64_t> Era_;
 };
 
 /// Asynchronous access to the table. Callbacks run on the caller's loop, later
--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -93,6 +93,19 @@
   base::Tokens Available_;
 };
 
+/// Progress after the table was restored from a copy.
+enum class EscrowRecovery {
+  /// The table was not restored, or all is written again.
+  None,
+  /// This router's slices are not in the table yet.
+  Restating,
+  /// Other routers' slices are not in the table yet; nothing can be drawn.
+  AwaitingOthers,
+};
+
+/// Returns the name used in logs, such as "restating".
+std::string_view toString(EscrowRecovery Recovery);
+
 /// A slice taken over from the previous process on the same host.
 struct EscrowTakeover {
   base::AccountId Account_;
@@ -109,6 +122,13 @@
 
 /// The slices of one router process. Does no I/O: the caller reads the table
 /// and runs transactions.
+///
+/// A table that is restored from a copy, as its era shows, has lost the latest
+/// draws. Routers go on spending from the slices that they hold, write them
+/// again, and draw nothing before all routers that ran at the restore have done
+/// so. If one of them does not, what was undrawn in the copy counts as spent by
+/// it. If none of them is left, half of what the copy shows as unspent counts
+/// as spent.
 class Escrow {
 public:
   /// Key prefix of the rows with one router's slice of one account's budget.
@@ -161,6 +181,9 @@
 
   /// Whether the rows were read at least once.
   bool loaded() const;
+  EscrowRecovery recovery() const;
+  /// Era of the table, 0 if it states none.
+  std::uint64_t era() const;
   /// Addresses of other routers with a recent heartbeat. The order differs
   /// between routers, so that they do not all prefer the same peer.
   const std::vector<std::string> &peers() const;
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -1,10 +1,12 @@
 #include "camphorwind/budget/escrow.h"
 
 #include "escrow-rows.h"
+#include "roster.h"
 
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace camphorwind::budget {
@@ -12,6 +14,7 @@
 namespace {
 
 using detail::Checkpoint;
+using detail::RosterState;
 using detail::SliceRow;
 using std::chrono::milliseconds;
 
@@ -108,6 +111,19 @@
 /// Age of a demand average inherited from the previous process: much longer
 /// than the smoothing time, so the average counts as fully observed.
 constexpr std::chrono::seconds InheritedAverageAge{60};
+/// A router whose last heartbeat was older than this when the table was
+/// restored has written nothing since the copy was made: copies are a few
+/// seconds old. Its rows in the copy are up to date.
+constexpr milliseconds MaxCopyAge{30000};
+/// After a restore, a router that has not written its slices again within this
+/// time is given up. A router that is only cut off may do so later.
+constexpr milliseconds RestateTimeout{10000};
+/// After a restore, a process that has just started waits this long for routers
+/// that know more than the copy.
+constexpr milliseconds KnowingRoutersGrace{3000};
+/// Fraction of what the copy shows as unspent that counts as spent if no router
+/// knows what was spent since.
+constexpr double AssumedSpentSinceCopy = 0.5;
 
 /// What this router knows and holds of one account's budget.
 struct AccountState {
@@ -131,6 +147,19 @@
   /// Tokens that the transaction in progress draws (positive) or returns
   /// (negative).
   std::int64_t PendingGrant_ = 0;
+  /// Change of the total row by the transaction in progress.
+  std::int64_t PendingTotalChange_ = 0;
+
+  /// Whether the slice is to be written again after a restore of the table.
+  bool NeedsRestate_ = false;
+  /// Whether the account existed when the table was restored, as far as this
+  /// router knows.
+  bool ExistedBeforeRestore_ = false;
+  /// The account's rows of the latest era before the table's.
+  std::int64_t CopiedTotal_ = 0;
+  std::map<std::string, SliceRow> CopiedSlices_;
+  /// Tokens granted to all other routers in the table's era.
+  std::int64_t GrantedToOthers_ = 0;
 
   /// Largest bound refused since the account's last committed transaction or
   /// the last read of all rows, whichever was later.
@@ -183,6 +212,18 @@
   return "unknown";
 }
 
+std::string_view toString(EscrowRecovery Recovery) {
+  switch (Recovery) {
+  case EscrowRecovery::None:
+    return "none";
+  case EscrowRecovery::Restating:
+    return "restating";
+  case EscrowRecovery::AwaitingOthers:
+    return "awaiting_others";
+  }
+  return "unknown";
+}
+
 struct Escrow::Impl {
   explicit Impl(EscrowSettings Settings) : Settings_(std::move(Settings)) {}
 
@@ -319,6 +360,227 @@
            (Seen + PriorTime.count());
   }
 
+  std::string key(std::string_view Suffix) const {
+    return detail::withEra(Era_, Suffix);
+  }
+
+  /// Whether tokens can be drawn and returned. After a restore, the total row
+  /// is written again only when it is known what all routers hold.
+  bool isOpen(const AccountState &State) const {
+    return !Restored_ || State.TotalVersion_ != 0 || CanOpen_;
+  }
+
+  /// Handles that the table was restored: its rows are older than what this
+  /// router knows, so none of them counts.
+  void beginEra(std::uint64_t Era, base::TimePoint Now) {
+    Era_ = Era;
+    OutcomeUnknown_ = false;
+    LastTransaction_.reset();
+    PendingAccounts_.clear();
+    RosterVersion_ = 0;
+    CanOpen_ = false;
+    RowsInEra_ = false;
+    if (!KnowsSlices_)
+      return;
+    EraSince_ = Now;
+    Restored_ = true;
+    Restating_ = true;
+    for (const auto &[Name, State] : Roster_.states())
+      LiveRouters_.insert(Name);
+    Roster_ = {};
+    for (auto &[Account, State] : Accounts_) {
+      State.NeedsRestate_ = true;
+      State.ExistedBeforeRestore_ = true;
+      State.SliceVersion_ = 0;
+      State.TotalVersion_ = 0;
+      State.GrantedToAll_ = State.Prepaid_;
+      // A pending draw is not received. A pending return may have taken effect
+      // and stays subtracted from what this router holds.
+      State.PendingCheckpoint_.reset();
+      State.PendingGrant_ = 0;
+      State.PendingTotalChange_ = 0;
+    }
+  }
+
+  /// Decides at the first read of an era whether the table was restored and
+  /// what this process has to write again.
+  void beginFirstRead(bool HasOlderRows, base::TimePoint Now) {
+    RowsInEra_ = true;
+    if (KnowsSlices_)
+      return;
+    EraSince_ = Now;
+    Restored_ = HasOlderRows || RosterVersion_ != 0;
+    // The previous process on this host may have known more than the copy. If
+    // it wrote its slices again, this process takes them over as usual.
+    Restating_ = Restored_ && !isRestated();
+    KnowsSlices_ = !Restating_;
+  }
+
+  bool isRestated() const {
+    return Roster_.find(Settings_.Router_.str()) == RosterState::Restated;
+  }
+
+  void adoptRoster(const base::Row &Found) {
+    if (Found.Version_ <= RosterVersion_)
+      return;
+    RosterVersion_ = Found.Version_;
+    CanOpen_ = false;
+    if (auto Decoded = detail::decodeRoster(Found.Value_)) {
+      Roster_ = std::move(*Decoded);
+      return;
+    }
+    // A router that never answers: nothing is drawn before it is given up.
+    Roster_ = {};
+    Roster_.expect("unreadable");
+  }
+
+  /// Recomputes, from the rows just read, what was granted to all routers in
+  /// accounts whose total row is not written again yet.
+  void updateUnopenedTotals(base::TimePoint Now) {
+    CanOpen_ = Restored_ && !Restating_ && RosterVersion_ != 0 &&
+               !Roster_.has(RosterState::Expected);
+    if (!Restored_)
+      return;
+    for (auto &[Account, State] : Accounts_)
+      if (State.TotalVersion_ == 0)
+        State.GrantedToAll_ =
+            CanOpen_ ? grantedAtOpening(State, Now) : State.Prepaid_;
+  }
+
+  std::int64_t grantedAtOpening(const AccountState &State,
+                                base::TimePoint Now) const {
+    std::int64_t Granted = State.Granted_ + State.GrantedToOthers_;
+    // Routers that had long been silent wrote nothing that the copy lacks.
+    for (const auto &[Router, Slice] : State.CopiedSlices_)
+      if (!Roster_.contains(Router))
+        Granted += Slice.Granted_;
+    bool Existed = State.ExistedBeforeRestore_ || State.CopiedTotal_ > 0 ||
+                   !State.CopiedSlices_.empty();
+    if (!Existed || !Roster_.has(RosterState::Lost))
+      return Granted;
+    if (Roster_.has(RosterState::Restated))
+      return std::max(Granted, State.Prepaid_);
+    std::int64_t Unspent =
+        State.Prepaid_ - State.Granted_ - State.GrantedToOthers_;
+    for (const auto &[Router, Slice] : State.CopiedSlices_)
+      Unspent -=
+          std::min(Slice.Granted_, Slice.Checkpoint_.ceiling(tableTime(Now)));
+    return State.Prepaid_ -
+           static_cast<std::int64_t>(
+               (1 - AssumedSpentSinceCopy) *
+               static_cast<double>(std::max<std::int64_t>(0, Unspent)));
+  }
+
+  /// Builds what has to be written after a restore before anything else: this
+  /// router's entry in the roster, its slices, and the roster once more.
+  std::optional<base::Transaction> buildRestate(base::TimePoint Now) {
+    base::Transaction Change;
+    const std::string &Self = Settings_.Router_.str();
+    if (!KnowsSlices_) {
+      if (RosterVersion_ == 0 && Now - EraSince_ < KnowingRoutersGrace)
+        return heartbeatIfDue(Now);
+      auto OwnState = Roster_.find(Self);
+      if (OwnState && *OwnState != RosterState::Expected) {
+        endRestating();
+        return std::nullopt;
+      }
+      // A process whose host no router knew has no predecessor that matters.
+      if (RosterVersion_ != 0 && !OwnState) {
+        if (Roster_.has(RosterState::Expected) &&
+            Now - EraSince_ < RestateTimeout)
+          return heartbeatIfDue(Now);
+        endRestating();
+        return std::nullopt;
+      }
+      detail::Roster Next = rosterWithLiveRouters();
+      Next.set(Self, RosterState::Lost);
+      return rosterChange(std::move(Next), Now);
+    }
+    if (RosterVersion_ == 0 || !Roster_.contains(Self))
+      return rosterChange(rosterWithLiveRouters(), Now);
+    for (auto &[Account, State] : Accounts_) {
+      if (PendingAccounts_.size() >= MaxAccountsPerTransaction)
+        break;
+      if (!State.NeedsRestate_)
+        continue;
+      if (State.Granted_ == 0)
+        State.NeedsRestate_ = false;
+      else
+        addAccount(Account, State, Change, 0, Now);
+    }
+    if (!PendingAccounts_.empty()) {
+      addHeartbeat(Change, Now);
+      return Change;
+    }
+    if (Roster_.find(Self) == RosterState::Expected) {
+      detail::Roster Next = Roster_;
+      Next.set(Self, RosterState::Restated);
+      return rosterChange(std::move(Next), Now);
+    }
+    endRestating();
+    return std::nullopt;
+  }
+
+  void endRestating() {
+    Restating_ = false;
+    KnowsSlices_ = true;
+    RowsInEra_ = false;
+  }
+
+  /// The roster with all routers that ran at the restore, as far as this one
+  /// knows, and itself.
+  detail::Roster rosterWithLiveRouters() const {
+    detail::Roster Next = RosterVersion_ == 0 ? detail::Roster() : Roster_;
+    for (const std::string &Each : LiveRouters_)
+      Next.expect(Each);
+    Next.expect(Settings_.Router_.str());
+    return Next;
+  }
+
+  base::Transaction rosterChange(detail::Roster Next, base::TimePoint Now) {
+    base::Transaction Change;
+    std::string Key = key(detail::RosterKey);
+    Change.Conditions_.push_back({Key, RosterVersion_});
+    Change.Writes_.push_back({std::move(Key), detail::encodeRoster(Next)});
+    PendingRoster_ = std::move(Next);
+    addHeartbeat(Change, Now);
+    return Change;
+  }
+
+  /// Tokens by which writing this router's slice again raises the total row, if
+  /// another router has opened the account without it.
+  std::int64_t missingInTotal(const AccountState &State) const {
+    const std::string &Self = Settings_.Router_.str();
+    // A lost router's tokens are part of a total that was raised to the whole
+    // budget.
+    if (!State.NeedsRestate_ || State.TotalVersion_ == 0 ||
+        Roster_.find(Self) == RosterState::Lost)
+      return 0;
+    auto Copied = State.CopiedSlices_.find(Self);
+    std::int64_t Counted =
+        Copied == State.CopiedSlices_.end() ? 0 : Copied->second.Granted_;
+    return std::max<std::int64_t>(0, State.Granted_ - Counted);
+  }
+
+  void addHeartbeat(base::Transaction &Change, base::TimePoint Now) {
+    LastWriteAt_ = Now;
+    std::string Presence = detail::routerKey(Settings_.Router_);
+    if (Closing_)
+      Change.Writes_.push_back({std::move(Presence), std::nullopt});
+    else
+      Change.Writes_.push_back(
+          {std::move(Presence),
+           detail::encodePresence({tableTime(Now), Settings_.PeerAddress_})});
+  }
+
+  std::optional<base::Transaction> heartbeatIfDue(base::TimePoint Now) {
+    if (Closing_ || Now - LastWriteAt_ < PresenceInterval)
+      return std::nullopt;
+    base::Transaction Change;
+    addHeartbeat(Change, Now);
+    return Change;
+  }
+
   /// Tokens to draw (positive) or to return (negative) now.
   std::int64_t grantDelta(const AccountState &State,
                           base::TimePoint Now) const {
@@ -470,7 +732,7 @@
 
   /// Whether tokens should be drawn for the account or returned.
   bool needsGrant(const AccountState &State, base::TimePoint Now) const {
-    return State.HasBudget_ && grantDelta(State, Now) != 0;
+    return State.HasBudget_ && isOpen(State) && grantDelta(State, Now) != 0;
   }
 
   bool needsCheckpoint(const AccountState &State, base::TimePoint Now) const {
@@ -506,6 +768,16 @@
   /// change total rows, which routers share, so they may conflict repeatedly;
   /// taking turns keeps them from delaying checkpoints.
   std::optional<base::Transaction> buildTransaction(base::TimePoint Now) {
+    if (!RowsInEra_)
+      return std::nullopt;
+    if (Restating_)
+      return buildRestate(Now);
+    if (Restored_ && Roster_.has(RosterState::Expected) &&
+        RosterVersion_ != 0 && Now - EraSince_ >= RestateTimeout) {
+      detail::Roster Next = Roster_;
+      Next.loseExpected();
+      return rosterChange(std::move(Next), Now);
+    }
     for (int Kind = 0; Kind < 2; ++Kind) {
       LastBuiltGrants_ = !LastBuiltGrants_;
       if (auto Change = buildGrantsOrCheckpoints(LastBuiltGrants_, Now))
@@ -518,6 +790,7 @@
   buildGrantsOrCheckpoints(bool Grants, base::TimePoint Now) {
     base::Transaction Change;
     PendingAccounts_.clear();
+    OpensAccount_ = false;
     for (auto &[Account, State] : Accounts_) {
       if (PendingAccounts_.size() >= MaxAccountsPerTransaction)
         break;
@@ -529,14 +802,7 @@
         !Closing_ && !Grants && Now - LastWriteAt_ >= PresenceInterval;
     if (PendingAccounts_.empty() && !HeartbeatDue)
       return std::nullopt;
-    LastWriteAt_ = Now;
-    std::string Presence = detail::routerKey(Settings_.Router_);
-    if (Closing_)
-      Change.Writes_.push_back({std::move(Presence), std::nullopt});
-    else
-      Change.Writes_.push_back(
-          {std::move(Presence),
-           detail::encodePresence({tableTime(Now), Settings_.PeerAddress_})});
+    addHeartbeat(Change, Now);
     return Change;
   }
 
@@ -544,7 +810,9 @@
                   base::Transaction &Change, std::int64_t Grant,
                   base::TimePoint Now) {
     std::int64_t Granted = State.Granted_ + Grant;
-    std::string Key = detail::sliceKey(Account, Settings_.Router_);
+    std::string Key = key(detail::sliceKey(Account, Settings_.Router_));
+    std::int64_t TotalChange = Grant + missingInTotal(State);
+    State.PendingTotalChange_ = TotalChange;
     State.PendingCheckpoint_ = nextCheckpoint(State, Granted, Now);
     State.PendingGrant_ = Grant;
     Change.Conditions_.push_back({Key, State.SliceVersion_});
@@ -553,11 +821,20 @@
          detail::encodeSlice({Settings_.Incarnation_.str(), Granted,
                               *State.PendingCheckpoint_,
                               publishedDemand(State, Now)})});
-    if (Grant != 0) {
-      std::string Total = detail::totalKey(Account);
+    std::string Total = key(detail::totalKey(Account));
+    // Routers that open the account must not miss a slice that is being written
+    // again.
+    if (TotalChange != 0 || (State.NeedsRestate_ && State.TotalVersion_ == 0))
       Change.Conditions_.push_back({Total, State.TotalVersion_});
+    if (TotalChange != 0)
       Change.Writes_.push_back(
-          {std::move(Total), detail::encodeTotal(State.GrantedToAll_ + Grant)});
+          {std::move(Total),
+           detail::encodeTotal(State.GrantedToAll_ + TotalChange)});
+    // The account is opened with what the routers in this roster hold.
+    bool Opens = Restored_ && TotalChange != 0 && State.TotalVersion_ == 0;
+    if (Opens && !OpensAccount_) {
+      OpensAccount_ = true;
+      Change.Conditions_.push_back({key(detail::RosterKey), RosterVersion_});
     }
     // Returned tokens must not be spent while the transaction is in progress.
     if (Grant < 0)
@@ -571,19 +848,29 @@
       State.SliceVersion_ = Version;
       if (State.PendingGrant_ > 0)
         State.Granted_ += State.PendingGrant_;
-      if (State.PendingGrant_ != 0) {
+      if (State.PendingTotalChange_ != 0) {
         State.TotalVersion_ = Version;
-        State.GrantedToAll_ += State.PendingGrant_;
-        State.GrantAt_ = Now;
+        State.GrantedToAll_ += State.PendingTotalChange_;
       }
+      if (State.PendingGrant_ != 0)
+        State.GrantAt_ = Now;
+      State.NeedsRestate_ = false;
       State.RefusedBound_ = 0;
       State.RefusedUrgentBound_ = 0;
       State.CheckpointAt_ = Now;
       State.ConfirmedCheckpoint_ =
           std::exchange(State.PendingCheckpoint_, std::nullopt);
       State.PendingGrant_ = 0;
+      State.PendingTotalChange_ = 0;
     }
     PendingAccounts_.clear();
+    if (PendingRoster_) {
+      Roster_ = *std::exchange(PendingRoster_, std::nullopt);
+      RosterVersion_ = Version;
+      // The rows were read with another roster.
+      CanOpen_ = false;
+      RowsStale_ = true;
+    }
   }
 
   /// Undoes the local effects of the transaction in progress, which did not
@@ -595,12 +882,18 @@
         State.Granted_ -= State.PendingGrant_;
       State.PendingCheckpoint_.reset();
       State.PendingGrant_ = 0;
+      State.PendingTotalChange_ = 0;
     }
     PendingAccounts_.clear();
+    PendingRoster_.reset();
   }
 
   /// Takes over a newer total row or slice row of this router.
   void adoptRow(const base::Row &Found, base::TimePoint Now) {
+    if (Found.Key_ == detail::RosterKey) {
+      adoptRoster(Found);
+      return;
+    }
     if (Found.Key_.starts_with(TotalPrefix)) {
       AccountState &State =
           Accounts_[base::AccountId(Found.Key_.substr(TotalPrefix.size()))];
@@ -623,6 +916,7 @@
     if (Found.Version_ <= State.SliceVersion_)
       return;
     State.SliceVersion_ = Found.Version_;
+    State.NeedsRestate_ = false;
     auto Row = detail::decodeSlice(Found.Value_);
     if (!Row) {
       State.Granted_ = 0;
@@ -648,6 +942,107 @@
     inheritDemand(State, Row->TokensPerSecond_, Now);
   }
 
+  /// Takes over the result of reading all rows.
+  void adoptRows(const std::vector<base::Row> &Rows, base::TimePoint Now) {
+    for (auto &[Account, State] : Accounts_) {
+      State.UnspentByOthers_ = 0;
+      State.DemandOfOthers_ = 0;
+      State.RefusedBound_ = 0;
+      State.RefusedUrgentBound_ = 0;
+      State.GrantedToOthers_ = 0;
+      State.CopiedSlices_.clear();
+      State.CopiedTotal_ = 0;
+    }
+    // While the outcome of a transaction is open, only its result tells the
+    // state of this router's rows and of the totals.
+    bool AdoptsOwn = !Running_ && !OutcomeUnknown_;
+    bool HasOlderRows = false;
+    std::vector<base::Row> Presences;
+    // In ascending order of eras, because a later copy replaces an earlier one.
+    std::map<std::uint64_t, std::vector<base::Row>> ByEra;
+    for (const base::Row &Each : Rows) {
+      if (Each.Key_.starts_with(RouterPrefix)) {
+        Presences.push_back(Each);
+        continue;
+      }
+      detail::EraKey Split = detail::splitEra(Each.Key_);
+      ByEra[Split.Era_].push_back(
+          {std::move(Split.Key_), Each.Version_, Each.Value_});
+    }
+    for (const auto &[Era, EraRows] : ByEra) {
+      if (Era > Era_)
+        continue; // Written by a router that has seen a later era.
+      HasOlderRows = HasOlderRows || Era < Era_;
+      for (const base::Row &Each : EraRows) {
+        if (Era < Era_)
+          addCopiedRow(Each);
+        else if (!addOthersRow(Each, Now) && AdoptsOwn)
+          adoptRow(Each, Now);
+      }
+    }
+    countRouters(Presences, Now);
+    if (!RowsInEra_)
+      beginFirstRead(HasOlderRows, Now);
+    if (AdoptsOwn)
+      updateUnopenedTotals(Now);
+  }
+
+  /// Notes a row of an earlier era.
+  void addCopiedRow(const base::Row &Found) {
+    if (Found.Key_.starts_with(TotalPrefix)) {
+      base::AccountId Account(Found.Key_.substr(TotalPrefix.size()));
+      Accounts_[Account].CopiedTotal_ =
+          detail::decodeTotal(Found.Value_).value_or(0);
+      return;
+    }
+    auto Name = detail::sliceNameFromKey(Found.Key_);
+    auto Row = Name ? detail::decodeSlice(Found.Value_) : std::nullopt;
+    if (Row)
+      Accounts_[Name->Account_].CopiedSlices_.insert_or_assign(
+          Name->Router_.str(), *Row);
+  }
+
+  /// Adds another router's slice as of its last checkpoint. Returns false if
+  /// the row is not another router's slice.
+  bool addOthersRow(const base::Row &Found, base::TimePoint Now) {
+    auto Name = detail::sliceNameFromKey(Found.Key_);
+    if (!Name || Name->Router_ == Settings_.Router_)
+      return false;
+    if (auto Row = detail::decodeSlice(Found.Value_)) {
+      AccountState &State = Accounts_[Name->Account_];
+      State.GrantedToOthers_ += Row->Granted_;
+      addOtherSlice(State, *Row, tableTime(Now));
+    }
+    return true;
+  }
+
+  /// Counts the routers with a recent heartbeat and notes their addresses.
+  void countRouters(const std::vector<base::Row> &Presences,
+                    base::TimePoint Now) {
+    std::map<std::string, std::string> Addresses;
+    std::size_t Routers = 0;
+    bool OwnListed = false;
+    // While slices are being written again, the routers that ran at the restore
+    // count, also those that have not been heard since.
+    if (!Restating_ && RowsInEra_)
+      LiveRouters_.clear();
+    for (const base::Row &Each : Presences) {
+      auto Seen = detail::decodePresence(Each.Value_);
+      base::Duration Age = Seen ? tableTime(Now) - Seen->At_ : MaxCopyAge;
+      bool Alive = Seen && Age < PresenceTimeout;
+      bool Own = Each.Key_ == detail::routerKey(Settings_.Router_);
+      Routers += Alive ? 1 : 0;
+      OwnListed = OwnListed || Own;
+      if (Age < MaxCopyAge)
+        LiveRouters_.insert(Each.Key_.substr(RouterPrefix.size()));
+      if (Alive && !Own && !Seen->Address_.empty())
+        Addresses.emplace(Each.Key_, std::move(Seen->Address_));
+    }
+    Routers_ =
+        std::max(Settings_.ExpectedRouters_, Routers + (OwnListed ? 0 : 1));
+    setPeers(Addresses);
+  }
+
   /// Orders the peers by key, starting after this router's own key, so that
   /// routers prefer different peers.
   void setPeers(const std::map<std::string, std::string> &AddressByKey) {
@@ -693,6 +1088,37 @@
   base::TimePoint TableTimeAt_{};
   bool HasTableTime_ = false;
 
+  /// Era of the table; keys of other eras do not count.
+  std::uint64_t Era_ = 0;
+  /// Era for which the transaction in progress was built.
+  std::uint64_t TransactionEra_ = 0;
+  /// When this router noticed the era.
+  base::TimePoint EraSince_{};
+  /// Whether the table was restored before the era began.
+  bool Restored_ = false;
+  /// Whether this router has yet to write its slices again.
+  bool Restating_ = false;
+  /// Whether this process holds slices by its own knowledge. It does not if it
+  /// started after the last restore and has not yet settled what its
+  /// predecessor held.
+  bool KnowsSlices_ = false;
+  /// Whether the rows were read in this era.
+  bool RowsInEra_ = false;
+  /// Whether a routine read would come too late.
+  bool RowsStale_ = false;
+  /// Whether accounts without a total row may be opened: all routers have
+  /// written their slices again, and the rows were read since.
+  bool CanOpen_ = false;
+  /// Whether the transaction being built opens an account.
+  bool OpensAccount_ = false;
+  detail::Roster Roster_;
+  base::RowVersion RosterVersion_ = 0;
+  /// The roster that the transaction in progress writes.
+  std::optional<detail::Roster> PendingRoster_;
+  /// Names of the routers that had a heartbeat within `MaxCopyAge`, from the
+  /// last read.
+  std::set<std::string> LiveRouters_;
+
   bool Loaded_ = false;
   bool RowsSeen_ = false;
   bool Closing_ = false;
@@ -749,6 +1175,9 @@
     State.RefusedUrgentBound_ = std::max(State.RefusedUrgentBound_, Requested);
   State.RefusedBound_ = std::max(State.RefusedBound_, Requested);
   bool RowsFresh = Impl_->RowsSeen_ && Now - Impl_->RowsReadAt_ < MaxRowsAge;
+  // What was spent is not known before all routers have written it again.
+  if (RowsFresh && !Impl_->isOpen(State))
+    return base::failure(EscrowRefusal::HeldByOthers);
   if (RowsFresh && Impl::unspent(State) < Requested)
     return base::failure(EscrowRefusal::Spent);
   if (Impl_->TableUnreachable_ || Impl_->isTransactionLate(Now))
@@ -771,12 +1200,12 @@
 }
 
 bool Escrow::needsRows(base::TimePoint Now) const {
-  if (!Impl_->Loaded_ || !Impl_->RowsSeen_)
+  if (!Impl_->Loaded_ || !Impl_->RowsSeen_ || !Impl_->RowsInEra_)
     return true;
   if (Impl_->Closing_)
     return false;
   base::Duration Age = Now - Impl_->RowsReadAt_;
-  if (Age >= RowsInterval)
+  if (Age >= RowsInterval || Impl_->RowsStale_)
     return true;
   return Age >= RefusalRowsInterval &&
          std::any_of(
@@ -789,44 +1218,15 @@
   Impl_->TableUnreachable_ = Read.Status_ != base::ReadStatus::Ok;
   if (Impl_->TableUnreachable_)
     return;
+  if (Read.Era_ && *Read.Era_ < Impl_->Era_)
+    return; // Sent before the table was restored.
+  if (Read.Era_ && *Read.Era_ > Impl_->Era_)
+    Impl_->beginEra(*Read.Era_, Now);
   Impl_->boundStartTime(Read.TableTime_, AskedAt);
   Impl_->updateTableTime(Read.TableTime_, Now);
-  milliseconds Time = Impl_->tableTime(Now);
-  for (auto &[Account, State] : Impl_->Accounts_) {
-    State.UnspentByOthers_ = 0;
-    State.DemandOfOthers_ = 0;
-    State.RefusedBound_ = 0;
-    State.RefusedUrgentBound_ = 0;
-  }
-  std::map<std::string, std::string> Addresses;
-  std::size_t Routers = 0;
-  bool OwnListed = false;
-  for (const base::Row &Each : Read.Rows_) {
-    if (Each.Key_.starts_with(RouterPrefix)) {
-      auto Seen = detail::decodePresence(Each.Value_);
-      bool Alive = Seen && Time - Seen->At_ < PresenceTimeout;
-      bool Own = Each.Key_ == detail::routerKey(Impl_->Settings_.Router_);
-      Routers += Alive ? 1 : 0;
-      OwnListed = OwnListed || Own;
-      if (Alive && !Own && !Seen->Address_.empty())
-        Addresses.emplace(Each.Key_, std::move(Seen->Address_));
-      continue;
-    }
-    auto Name = detail::sliceNameFromKey(Each.Key_);
-    if (Name && Name->Router_ != Impl_->Settings_.Router_) {
-      if (auto Row = detail::decodeSlice(Each.Value_))
-        Impl_->addOtherSlice(Impl_->Accounts_[Name->Account_], *Row, Time);
-      continue;
-    }
-    // While the outcome of a transaction is open, only its result tells the
-    // state of this router's rows and of the totals.
-    if (!Impl_->Running_ && !Impl_->OutcomeUnknown_)
-      Impl_->adoptRow(Each, Now);
-  }
-  Impl_->Routers_ = std::max(Impl_->Settings_.ExpectedRouters_,
-                             Routers + (OwnListed ? 0 : 1));
-  Impl_->setPeers(Addresses);
+  Impl_->adoptRows(Read.Rows_, Now);
   Impl_->RowsReadAt_ = Now;
+  Impl_->RowsStale_ = false;
   Impl_->RowsSeen_ = true;
   Impl_->Loaded_ = true;
 }
@@ -839,6 +1239,7 @@
   if (!Impl_->LastTransaction_)
     return std::nullopt;
   Impl_->Running_ = true;
+  Impl_->TransactionEra_ = Impl_->Era_;
   Impl_->RunningSince_ = Now;
   Impl_->NextTransactionAt_ = Now + Impl_->Settings_.MinTransactionInterval_;
   return Impl_->LastTransaction_;
@@ -851,6 +1252,12 @@
   Impl_->updateTableTime(Result.TableTime_, Now);
   Impl_->TableUnreachable_ = Result.Status_ != TransactionStatus::Committed &&
                              Result.Status_ != TransactionStatus::Conflict;
+  if (Result.Era_ && *Result.Era_ > Impl_->Era_)
+    Impl_->beginEra(*Result.Era_, Now);
+  // Built before the table was restored: whatever it did is gone, or concerns
+  // rows that no longer count.
+  if (Impl_->TransactionEra_ != Impl_->Era_)
+    return;
   switch (Result.Status_) {
   case TransactionStatus::Committed:
     Impl_->OutcomeUnknown_ = false;
@@ -861,8 +1268,13 @@
     // the current slice rows show, or another router changed a total.
     Impl_->rollBack();
     Impl_->OutcomeUnknown_ = false;
-    for (const base::Row &Each : Result.Current_)
-      Impl_->adoptRow(Each, Now);
+    for (const base::Row &Each : Result.Current_) {
+      detail::EraKey Split = detail::splitEra(Each.Key_);
+      if (Split.Era_ == Impl_->Era_)
+        Impl_->adoptRow({std::move(Split.Key_), Each.Version_, Each.Value_},
+                        Now);
+    }
+    Impl_->RowsStale_ = Impl_->RowsStale_ || Impl_->Restored_;
     return;
   }
   case TransactionStatus::NotSent:
@@ -901,6 +1313,16 @@
 
 bool Escrow::loaded() const { return Impl_->Loaded_; }
 
+EscrowRecovery Escrow::recovery() const {
+  if (Impl_->Restating_)
+    return EscrowRecovery::Restating;
+  return Impl_->Restored_ && Impl_->Roster_.has(RosterState::Expected)
+             ? EscrowRecovery::AwaitingOthers
+             : EscrowRecovery::None;
+}
+
+std::uint64_t Escrow::era() const { return Impl_->Era_; }
+
 const std::vector<std::string> &Escrow::peers() const { return Impl_->Peers_; }
 
 std::size_t Escrow::routerCount() const { return Impl_->Routers_; }
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -154,6 +154,9 @@
       Target.Escrow_->onTransaction(Table_.apply(*Next, Now_), Target.Clock_);
   }
 
+  void makeCopy() { Table_.makeCopy(); }
+  void restoreTable() { Table_.restore(); }
+
   /// Applies the oldest delayed transaction.
   void applyDelayed() {
     if (Delayed_.empty())
@@ -172,11 +175,20 @@
   }
 
   /// Runs all hosts with a table without faults for \p Span.
-  void runWithoutFaults(milliseconds Span) {
+  void runWithoutFaults(milliseconds Span) { run(Span, nullptr); }
+
+  /// The same, while \p Silent makes no calls to the table.
+  void runWithoutFaultsExcept(const Host &Silent, milliseconds Span) {
+    run(Span, &Silent);
+  }
+
+  void run(milliseconds Span, const Host *Silent) {
     constexpr milliseconds Step = 50ms;
     for (milliseconds Elapsed = 0ms; Elapsed < Span; Elapsed += Step) {
       advance(Step);
       for (Host &Each : Hosts_) {
+        if (&Each == Silent)
+          continue;
         Each.Suspended_ = false;
         if (Each.Escrow_->needsRows(Each.Clock_))
           read(Each);
@@ -196,6 +208,16 @@
     }
   }
 
+  /// Reserves all tokens that any host still grants to requests of 1,500.
+  void spendInSmallRequests() {
+    for (int Round = 0; Round < 100; ++Round) {
+      for (Host &Each : Hosts_)
+        for (int Call = 0; Call < 10; ++Call)
+          reserve(Each, 1500);
+      runWithoutFaults(500ms);
+    }
+  }
+
   std::int64_t Prepaid_;
 
 private:
@@ -268,6 +290,35 @@
   RC_ASSERT(Tested.maxConsumed() <= Prepaid);
 }
 
+/// Random faults around restores of the table. Host 0 is never killed: as long
+/// as one router knows what it holds, nothing is overspent.
+RC_GTEST_PROP(EscrowWorldTest, NeverSpendsMoreThanPrepaidAcrossRestores, ()) {
+  auto Prepaid = *rc::gen::inRange<std::int64_t>(5'000, 200'000);
+  World Tested(Prepaid, 3);
+  Tested.runWithoutFaults(200ms);
+  Tested.makeCopy();
+  constexpr int CopyAction = 18;
+  constexpr int RestoreAction = 19;
+  constexpr int KillAction = 14;
+  auto Steps = *rc::gen::resize(
+      400, rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+               rc::gen::tuple(rc::gen::inRange(0, 22), rc::gen::inRange(0, 3),
+                              rc::gen::inRange(0, 1000))));
+  for (auto [Action, HostIndex, Amount] : Steps) {
+    if (Action == CopyAction)
+      Tested.makeCopy();
+    else if (Action == RestoreAction && Amount < 300)
+      Tested.restoreTable();
+    else if (Action > RestoreAction)
+      Tested.runWithoutFaults(milliseconds(Amount));
+    else if (Action != KillAction || HostIndex != 0)
+      step(Tested, Action, static_cast<std::size_t>(HostIndex), Amount);
+    RC_ASSERT(Tested.maxConsumed() <= Prepaid);
+  }
+  Tested.spendAll();
+  RC_ASSERT(Tested.maxConsumed() <= Prepaid);
+}
+
 class EscrowTest : public testing::Test {
 protected:
   static constexpr std::int64_t Prepaid = 1'000'000;
@@ -317,6 +368,113 @@
   EXPECT_GT(Remaining, Unspent / 2);
 }
 
+/// What happens around a restore of the table from a copy that is 3 s old.
+struct RestoreCase {
+  std::string Name_;
+  /// Hosts killed between the copy and the restore.
+  std::vector<std::size_t> Killed_;
+  /// Host that is suspended from the restore on, for 5 s; none if empty.
+  std::optional<std::size_t> Suspended_;
+  /// Number of restores in a row.
+  int Restores_ = 1;
+  /// Fraction of the unspent tokens that must be usable afterwards.
+  double UsableShare_ = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const RestoreCase &Value) {
+  return Out << Value.Name_;
+}
+
+class EscrowRestoreTest : public testing::TestWithParam<RestoreCase> {};
+
+TEST_P(EscrowRestoreTest, SpendsAllThatIsKnownToBeUnspentAndNoMore) {
+  const RestoreCase &Case = GetParam();
+  constexpr std::int64_t Budget = 1'000'000;
+  World Tested(Budget, 4);
+  Tested.runWithoutFaults(1s);
+  auto Spend = [&](milliseconds Span) {
+    for (auto Elapsed = 0ms; Elapsed < Span; Elapsed += 100ms) {
+      for (std::size_t Index = 0; Index < 4; ++Index) {
+        Tested.reserve(Tested.host(Index), 1000);
+        Tested.settle(Tested.host(Index), true);
+      }
+      Tested.runWithoutFaults(100ms);
+    }
+  };
+  Spend(2s);
+  Tested.makeCopy();
+  Spend(3s);
+  for (std::size_t Each : Case.Killed_)
+    Tested.kill(Tested.host(Each));
+  for (int Restore = 0; Restore < Case.Restores_; ++Restore) {
+    Tested.restoreTable();
+    for (std::size_t Index = 0; Index < 4; ++Index) {
+      Tested.read(Tested.host(Index));
+      Tested.transact(Tested.host(Index), World::Outcome::Applied);
+    }
+  }
+  if (Case.Suspended_) {
+    Tested.runWithoutFaultsExcept(Tested.host(*Case.Suspended_), 5s);
+    EXPECT_LE(Tested.maxConsumed(), Budget);
+  }
+  Tested.runWithoutFaults(20s);
+  std::int64_t Unspent = Budget - Tested.maxConsumed();
+  Tested.spendInSmallRequests();
+  EXPECT_LE(Tested.maxConsumed(), Budget);
+  std::int64_t Left = Budget - Tested.maxConsumed();
+  EXPECT_GE(static_cast<double>(Unspent - Left),
+            Case.UsableShare_ * static_cast<double>(Unspent));
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    EXPECT_EQ(Tested.host(Index).Escrow_->recovery(), EscrowRecovery::None);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, EscrowRestoreTest,
+    testing::Values(
+        RestoreCase{"none", {}, std::nullopt, 1, 0.95},
+        RestoreCase{"three_restores", {}, std::nullopt, 3, 0.95},
+        RestoreCase{"one_suspended", {}, 2, 1, 0.95},
+        RestoreCase{"one_killed", {1}, std::nullopt, 1, 0.4},
+        RestoreCase{"three_killed", {1, 2, 3}, std::nullopt, 1, 0.1},
+        RestoreCase{"all_killed", {0, 1, 2, 3}, std::nullopt, 1, 0.35}),
+    [](const auto &Info) { return Info.param.Name_; });
+
+TEST_F(EscrowTest, DelayedTransactionFromBeforeARestoreChangesNothing) {
+  World_.runWithoutFaults(500ms);
+  World_.makeCopy();
+  Host &Target = World_.host(0);
+  // A large request makes the router draw; the table performs that later.
+  World_.reserve(Target, Prepaid / 4);
+  World_.transact(Target, World::Outcome::Delayed);
+  World_.restoreTable();
+  World_.runWithoutFaults(3s);
+  World_.applyDelayed();
+  World_.runWithoutFaults(1s);
+  World_.spendInSmallRequests();
+  EXPECT_LE(World_.maxConsumed(), Prepaid);
+  EXPECT_GE(World_.maxConsumed(), Prepaid * 9 / 10);
+}
+
+TEST_F(EscrowTest, NothingIsDrawnBeforeAllRoutersHaveWrittenTheirSlices) {
+  World_.runWithoutFaults(1s);
+  World_.restoreTable();
+  Host &Silent = World_.host(3);
+  World_.runWithoutFaultsExcept(Silent, 3s);
+  Host &Target = World_.host(0);
+  EXPECT_EQ(Target.Escrow_->recovery(), EscrowRecovery::AwaitingOthers);
+  std::int64_t Granted =
+      Target.Escrow_->status(Shop, Target.Clock_).Granted_.count();
+  auto Refused =
+      Target.Escrow_->reserve(Shop, Tokens(Granted + 1), true, Target.Clock_);
+  ASSERT_FALSE(Refused);
+  EXPECT_EQ(Refused.error(), EscrowRefusal::HeldByOthers);
+  World_.runWithoutFaultsExcept(Silent, 3s);
+  EXPECT_EQ(Target.Escrow_->status(Shop, Target.Clock_).Granted_.count(),
+            Granted);
+  World_.runWithoutFaults(2s);
+  EXPECT_EQ(Target.Escrow_->recovery(), EscrowRecovery::None);
+}
+
 /// A kill of all routers after a table outage of the given length; an outage of
 /// 0 ms means a healthy table.
 struct KillCase {
--- a/libs/budget/test/fake-table.h
+++ b/libs/budget/test/fake-table.h
@@ -12,10 +12,24 @@
 /// In-memory table whose time the caller passes in.
 class FakeTable {
 public:
+  /// Makes the copy that restore() goes back to.
+  void makeCopy() {
+    CopiedRows_ = Rows_;
+    CopiedVersion_ = Version_;
+  }
+
+  /// Loses all writes since makeCopy(); versions are given out again.
+  void restore() {
+    Rows_ = CopiedRows_;
+    Version_ = CopiedVersion_;
+    ++Era_;
+  }
+
   base::TransactionResult apply(const base::Transaction &Change,
                                 std::chrono::milliseconds Now) {
     base::TransactionResult Result;
     Result.TableTime_ = Now;
+    Result.Era_ = Era_;
     bool Holds = true;
     for (const base::RowCondition &Each : Change.Conditions_)
       Holds = Holds && versionOf(Each.Key_) == Each.Version_;
@@ -42,6 +56,7 @@
     base::ReadResult Result;
     Result.Status_ = base::ReadStatus::Ok;
     Result.TableTime_ = Now;
+    Result.Era_ = Era_;
     for (const auto &[Key, Row] : Rows_)
       Result.Rows_.push_back(Row);
     return Result;
@@ -55,6 +70,9 @@
 
   std::map<std::string, base::Row> Rows_;
   base::RowVersion Version_ = 0;
+  std::uint64_t Era_ = 1;
+  std::map<std::string, base::Row> CopiedRows_;
+  base::RowVersion CopiedVersion_ = 0;
 };
 
 } // namespace camphorwind::budget::test
--- a/libs/direct/include/camphorwind/direct/endpoint-list.h
+++ b/libs/direct/include/camphorwind/direct/endpoint-list.h
@@ -78,6 +78,11 @@
   void markLeaving(const base::EndpointId &Endpoint);
   /// Replaces all entries by a complete read of the list.
   void replace(const std::vector<ListedEndpoint> &Entries, base::TimePoint Now);
+  /// Prepares for a complete read of a list that was restored from a copy some
+  /// seconds old. Entries that the copy lacks stay usable for the grace period.
+  /// Entries that were removed since the copy was made are ignored until they
+  /// are written again.
+  void markRestored(base::TimePoint Now);
   /// Sets whether the list can be read.
   void setReachable(bool Reachable, base::TimePoint Now);
   /// Removes missing entries whose grace period has ended; call about every
@@ -94,6 +99,8 @@
 
 private:
   void markUnusable(const base::EndpointId &Endpoint, DepartureReason Reason);
+  /// Whether the entry was missing from the list before it was restored.
+  bool wasUnlisted(const ListedEndpoint &Entry) const;
   /// Whether the endpoint has begun to shut down since the start that \p Entry
   /// is about.
   bool hasDeparted(const ListedEndpoint &Entry) const;
@@ -105,6 +112,11 @@
   std::map<base::EndpointId, ListedEndpoint> Departed_;
   /// Missing entries that are still usable, with the end of the grace period.
   std::map<base::EndpointId, base::TimePoint> MissingUntil_;
+  /// Latest start of each endpoint whose entry was removed; like Departed_, but
+  /// the endpoint may register again.
+  std::map<base::EndpointId, ListedEndpoint> Unlisted_;
+  /// Whether the next complete read is that of a restored list.
+  bool Restored_ = false;
   std::vector<EndpointChange> Changes_;
   bool Loaded_ = false;
   bool Reachable_ = true;
--- a/libs/direct/src/endpoint-list.cpp
+++ b/libs/direct/src/endpoint-list.cpp
@@ -34,6 +34,8 @@
   auto Found = Usable_.find(Endpoint);
   if (Found == Usable_.end())
     return;
+  if (Reason == DepartureReason::Unlisted)
+    Unlisted_.insert_or_assign(Endpoint, Found->second);
   Changes_.push_back({std::move(Found->second), Reason});
   Usable_.erase(Found);
 }
@@ -43,6 +45,16 @@
   return Found != Departed_.end() && isSameStart(Found->second, Entry);
 }
 
+bool EndpointList::wasUnlisted(const ListedEndpoint &Entry) const {
+  auto Found = Unlisted_.find(Entry.Endpoint_);
+  return Found != Unlisted_.end() && isSameStart(Found->second, Entry);
+}
+
+void EndpointList::markRestored(base::TimePoint Now) {
+  Restored_ = true;
+  ReachableAgainAt_ = Now;
+}
+
 void EndpointList::markLeaving(const base::EndpointId &Endpoint) {
   auto Found = Usable_.find(Endpoint);
   if (Found == Usable_.end())
@@ -59,6 +71,7 @@
   }
   if (hasDeparted(Entry))
     return;
+  Unlisted_.erase(Entry.Endpoint_);
   MissingUntil_.erase(Entry.Endpoint_);
   auto Found = Usable_.find(Entry.Endpoint_);
   if (Found != Usable_.end()) {
@@ -86,10 +99,12 @@
 void EndpointList::replace(const std::vector<ListedEndpoint> &Entries,
                            base::TimePoint Now) {
   Loaded_ = true;
+  bool Restored = std::exchange(Restored_, false);
   std::set<base::EndpointId> Listed;
   for (const ListedEndpoint &Each : Entries) {
     Listed.insert(Each.Endpoint_);
-    put(Each, Now);
+    if (!Restored || !wasUnlisted(Each))
+      put(Each, Now);
   }
   std::vector<base::EndpointId> Missing;
   for (const auto &[Id, Each] : Usable_)
--- a/libs/direct/test/endpoint-list-test.cpp
+++ b/libs/direct/test/endpoint-list-test.cpp
@@ -102,6 +102,54 @@
         EntryAfterDepartureCase{"draining_new_start", false, "2", true, true}),
     [](const auto &Info) { return Info.param.Name_; });
 
+/// An endpoint whose entry was removed before the list was restored.
+struct RestoredEntryCase {
+  std::string Name_;
+  bool Restored_ = true;
+  std::string CopiedStartId_ = "1";
+  /// The endpoint writes its entry again after the restore.
+  bool WrittenAgain_ = false;
+  bool Usable_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out, const RestoredEntryCase &Value) {
+  return Out << Value.Name_;
+}
+
+class RestoredEntryTest : public testing::TestWithParam<RestoredEntryCase> {};
+
+TEST_P(RestoredEntryTest, CountsOnlyOnceItIsWrittenAgain) {
+  const RestoredEntryCase &Case = GetParam();
+  EndpointList List;
+  List.replace({makeEntry()}, Start);
+  List.remove(TestEndpoint, Start + 1s);
+  if (Case.Restored_)
+    List.markRestored(Start + 3s);
+  List.replace({makeEntry(false, Case.CopiedStartId_)}, Start + 3s);
+  if (Case.WrittenAgain_)
+    List.put(makeEntry(), Start + 4s);
+  EXPECT_EQ(List.find(TestEndpoint) != nullptr, Case.Usable_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Entries, RestoredEntryTest,
+    testing::Values(RestoredEntryCase{"from_the_copy"},
+                    RestoredEntryCase{"written_again", true, "1", true, true},
+                    RestoredEntryCase{"other_start", true, "2", false, true},
+                    RestoredEntryCase{"not_restored", false, "1", false, true}),
+    [](const auto &Info) { return Info.param.Name_; });
+
+TEST(EndpointListTest, EntryThatTheCopyLacksStaysForTheGracePeriod) {
+  EndpointList List;
+  List.replace({makeEntry()}, Start);
+  List.markRestored(Start + 3s);
+  List.replace({}, Start + 3s);
+  List.tick(Start + 3s + EndpointList::ReregistrationGrace - 1ms);
+  EXPECT_NE(List.find(TestEndpoint), nullptr);
+  List.tick(Start + 3s + EndpointList::ReregistrationGrace);
+  EXPECT_EQ(List.find(TestEndpoint), nullptr);
+}
+
 TEST(EndpointListTest, LeavingOfAnUnlistedEndpointHasNoEffect) {
   EndpointList List;
   List.replace({}, Start);
--- a/libs/net/include/camphorwind/net/http-client.h
+++ b/libs/net/include/camphorwind/net/http-client.h
@@ -53,6 +53,8 @@
 
 /// Callbacks of one call. Exactly one OnEnd_ follows, unless cancelled.
 struct HttpCallEvents {
+  /// All header fields, before OnHead_. May be empty.
+  std::function<void(HttpHeaders Headers)> OnHeaders_;
   /// Status and content type, before the first byte of the body.
   std::function<void(unsigned Status, std::string_view ContentType)> OnHead_;
   /// Returning Pause delivers the same bytes again after resume().
--- a/libs/net/src/http-client.cpp
+++ b/libs/net/src/http-client.cpp
@@ -66,8 +66,21 @@
   return static_cast<unsigned>(Status);
 }
 
+HttpHeaders headersOf(CURL *Easy) {
+  HttpHeaders Headers;
+  curl_header *Field = nullptr;
+  constexpr int LastRequest = -1;
+  while ((Field = curl_easy_nextheader(Easy, CURLH_HEADER, LastRequest, Field)))
+    Headers.add(Field->name, Field->value);
+  return Headers;
+}
+
 void reportHead(Transfer &Self) {
-  if (std::exchange(Self.HeadSeen_, true) || !Self.Events_.OnHead_)
+  if (std::exchange(Self.HeadSeen_, true))
+    return;
+  if (Self.Events_.OnHeaders_)
+    Self.Events_.OnHeaders_(headersOf(Self.Easy_));
+  if (!Self.Events_.OnHead_)
     return;
   const char *ContentType = nullptr;
   curl_easy_getinfo(Self.Easy_, CURLINFO_CONTENT_TYPE, &ContentType);
@@ -301,17 +314,21 @@
 HttpCallId HttpClient::fetch(
     HttpCall Call,
     std::function<void(base::Result<HttpAnswer, HttpCallError>)> OnEnd) {
-  auto Body = std::make_shared<std::string>();
+  auto Answer = std::make_shared<HttpAnswer>();
   HttpCallEvents Events;
-  Events.OnBody_ = [Body](std::string_view Data) {
-    Body->append(Data);
+  Events.OnHeaders_ = [Answer](HttpHeaders Headers) {
+    Answer->Headers_ = std::move(Headers);
+  };
+  Events.OnBody_ = [Answer](std::string_view Data) {
+    Answer->Body_.append(Data);
     return BodyFlow::Continue;
   };
-  Events.OnEnd_ = [Body, OnEnd = std::move(OnEnd)](
+  Events.OnEnd_ = [Answer, OnEnd = std::move(OnEnd)](
                       base::Result<unsigned, HttpCallError> Ended) {
     if (!Ended)
       return OnEnd(base::failure(std::move(Ended).error()));
-    OnEnd(HttpAnswer{Ended.value(), {}, std::move(*Body)});
+    Answer->Status_ = Ended.value();
+    OnEnd(std::move(*Answer));
   };
   return start(std::move(Call), std::move(Events));
 }
