Forget a roster that was on its way when the table was restored again

Cause: a roster whose reply was lost stayed pending over a second restore and was taken for committed with the router's next transaction, under a version that the roster's row does not have. The router then never ended its recovery. Change: a new era drops it.

--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -382,6 +382,7 @@
     OutcomeUnknown_ = false;
     LastTransaction_.reset();
     PendingAccounts_.clear();
+    PendingRoster_.reset();
     RosterVersion_ = 0;
     CanOpen_ = false;
     RowsInEra_ = false;
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -487,6 +487,21 @@
   EXPECT_LE(World_.maxConsumed(), Prepaid);
 }
 
+TEST_F(EscrowTest, RosterWhoseReplyWasLostIsForgottenInTheNextEra) {
+  World_.runWithoutFaults(1s);
+  World_.makeCopy();
+  World_.restoreTable();
+  World_.read(World_.host(0));
+  World_.advance(50ms);
+  World_.transact(World_.host(0), World::Outcome::ReplyLost);
+  World_.restoreTable();
+  // The other routers have written all of theirs when this one goes on.
+  World_.runWithoutFaultsExcept(World_.host(0), 2s);
+  World_.runWithoutFaults(3s);
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    EXPECT_EQ(World_.host(Index).Escrow_->recovery(), EscrowRecovery::None);
+}
+
 TEST_F(EscrowTest, NothingIsDrawnBeforeAllRoutersHaveWrittenTheirSlices) {
   World_.runWithoutFaults(1s);
   World_.restoreTable();
