Bound the times and token counts that callers state

Cause: under UBSan HostileRequestTest/huge_time overflowed the conversion of the caller's time left to nanoseconds; sums of huge token counts could overflow too. Change: both are bounded where they are parsed; a bounded count still exceeds every budget.

--- a/libs/direct/src/headers.cpp
+++ b/libs/direct/src/headers.cpp
@@ -26,6 +26,11 @@
     "Content-Length",
     "Proxy-Authorization"};
 
+/// Upper bounds of values from callers, which keep sums from overflowing. No
+/// caller waits for longer, and no budget covers as many tokens.
+constexpr std::chrono::milliseconds MaxTimeLeft = std::chrono::hours(24);
+constexpr std::int64_t MaxTokens = 1'000'000'000'000'000;
+
 bool equalIgnoringCase(std::string_view Left, std::string_view Right) {
   return Left.size() == Right.size() &&
          strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
@@ -123,7 +128,8 @@
   if (auto FieldValue = Headers.find(Names.TimeLeft_))
     if (auto Value = parseNumber<std::int64_t>(*FieldValue);
         Value && *Value >= 0)
-      Metadata.TimeLeft_ = std::chrono::milliseconds(*Value);
+      Metadata.TimeLeft_ =
+          std::min(std::chrono::milliseconds(*Value), MaxTimeLeft);
   if (auto FieldValue = Headers.find(Names.LastEventId_))
     Metadata.LastEventId_ = parseNumber<std::uint64_t>(*FieldValue);
   if (auto FieldValue = Headers.find(Names.TokenBounds_)) {
@@ -133,8 +139,8 @@
     });
     if (Counts.size() == 2 && Counts[0] >= 0 && Counts[1] >= 0) {
       Metadata.HasTokenBounds_ = true;
-      Metadata.PromptTokens_ = base::Tokens(Counts[0]);
-      Metadata.MaxOutputTokens_ = base::Tokens(Counts[1]);
+      Metadata.PromptTokens_ = base::Tokens(std::min(Counts[0], MaxTokens));
+      Metadata.MaxOutputTokens_ = base::Tokens(std::min(Counts[1], MaxTokens));
     }
   }
   if (auto FieldValue = Headers.find(Names.PromptParts_))
