--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -388,6 +388,7 @@
   Attempt_.HeadReceived_ = true;
   Attempt_.LastProgressAt_ = Now;
   Attempt_.Status_ = Head.Status_;
+  Attempt_.EndsByClose_ = Head.EndsByClose_;
   Attempt_.Signed_ = Response.Signed_;
   Attempt_.Unattributable_ =
       Response.AttemptId_.empty() && Head.ConnectionReused_;
@@ -466,6 +467,7 @@
   if (Finished_)
     return;
   AttemptActive_ = false;
+  Attempt_.UnfinishedBytes_ = EventStream_.unfinishedBytes();
   if (Result) {
     if (Attempt_.Streaming_)
       onStreamComplete();
@@ -743,6 +745,8 @@
        {"lender", Loan_ ? Loan_->Lender_ : ""},
        {"endpoint", Placement_.Endpoint_.str()},
        {"events", EventStream_.eventCount()},
+       {"ends_by_close", Attempt_.EndsByClose_},
+       {"unfinished_bytes", Attempt_.UnfinishedBytes_},
        {"first_ms",
         FirstByteAt_ ? toMilliseconds(*FirstByteAt_ - ArrivedAt_) : -1},
        {"total_ms", toMilliseconds(Now - ArrivedAt_)},
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -52,6 +52,11 @@
     bool Unattributable_ = false;
     /// The body is forwarded event by event instead of being collected.
     bool Streaming_ = false;
+    /// The response has neither a length nor chunks: it ends with its
+    /// connection.
+    bool EndsByClose_ = false;
+    /// Bytes after the last complete event when the response ended.
+    std::size_t UnfinishedBytes_ = 0;
     unsigned Status_ = 0;
     net::HttpHeaders Headers_;
     std::string Body_;
--- a/libs/direct/include/camphorwind/direct/event-stream.h
+++ b/libs/direct/include/camphorwind/direct/event-stream.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORWIND_DIRECT_EVENT_STREAM_H
 #define CAMPHORWIND_DIRECT_EVENT_STREAM_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
     SearchFrom_ = 0;
   }
 
+  /// Number of bytes after the last complete event.
+  std::size_t unfinishedBytes() const { return Unfinished_.size(); }
   /// Id of the last complete event that has one; before the first of them, the
   /// id to resume after.
   const std::optional<std::uint64_t> &lastId() const { return LastId_; }
