Deliver what was written before a stream is cut off

A stream that its endpoint ended inside an event, in one packet with whole events, reached the caller without these events: abortStream() discarded bytes that the connection had not taken yet. The cut now follows them.

--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -43,7 +43,8 @@
   virtual void write(std::string_view Data) = 0;
   /// Ends a streamed answer after all that was written.
   virtual void endStream() = 0;
-  /// Cuts a streamed answer off so that the caller sees it is not whole.
+  /// Cuts a streamed answer off after all that was written, so that the caller
+  /// sees it is not whole.
   virtual void abortStream() = 0;
   /// Bytes written that the caller's connection has not taken yet.
   virtual std::size_t buffered() const = 0;
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -296,10 +296,12 @@
   }
 
   ssize_t take(char *Target, std::size_t Room) {
-    if (Aborted_ || closed())
+    if (closed())
       return MHD_CONTENT_READER_END_WITH_ERROR;
     std::size_t Size = std::min(Room, buffered());
     if (Size == 0) {
+      if (Aborted_)
+        return MHD_CONTENT_READER_END_WITH_ERROR;
       if (Ended_)
         return MHD_CONTENT_READER_END_OF_STREAM;
       suspend();
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -1,12 +1,15 @@
 #include "camphorwind/net/http-server.h"
 
 #include "camphorwind/net/http-client.h"
+#include "camphorwind/net/socket.h"
 
 #include <gtest/gtest.h>
 
+#include <cerrno>
 #include <chrono>
 #include <string>
 #include <sys/socket.h>
+#include <utility>
 
 using namespace camphorwind::base;
 using namespace camphorwind::net;
@@ -120,6 +123,54 @@
   EXPECT_EQ(Got.error().Kind_, HttpCallErrorKind::Lost);
 }
 
+/// A caller that reads raw bytes until the connection ends.
+struct RawAnswer {
+  std::string Bytes_;
+  /// 0 if the connection was closed without an error.
+  int Error_ = 0;
+};
+
+RawAnswer fetchRaw(Loop &Owner, const Address &Server,
+                   const std::string &Request) {
+  RawAnswer Got;
+  Socket Connection = std::move(startConnect(Server).value());
+  bool Sent = false;
+  FdWatcher Watcher(Owner, [&](bool, bool) {
+    if (!std::exchange(Sent, true)) {
+      ::send(Connection.fd(), Request.data(), Request.size(), MSG_NOSIGNAL);
+      Watcher.start(Connection.fd(), Interest::Read);
+      return;
+    }
+    char Buffer[4096];
+    ssize_t Size = ::recv(Connection.fd(), Buffer, sizeof(Buffer), 0);
+    if (Size > 0) {
+      Got.Bytes_.append(Buffer, static_cast<std::size_t>(Size));
+      return;
+    }
+    if (Size < 0 && (errno == EAGAIN || errno == EINTR))
+      return;
+    Got.Error_ = Size < 0 ? errno : 0;
+    Watcher.stop();
+    Owner.stop();
+  });
+  Watcher.start(Connection.fd(), Interest::Write);
+  Owner.run();
+  return Got;
+}
+
+/// Guards against the loss of what was written just before a stream breaks off.
+TEST_F(HttpServerTest, AbortedStreamDeliversWhatWasWrittenBefore) {
+  serve([](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
+    Exchange->startStream(200, {});
+    Exchange->write("half");
+    Exchange->abortStream();
+  });
+  RawAnswer Got = fetchRaw(*Owner_, Server_->address(),
+                           "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_NE(Got.Bytes_.find("\r\n4\r\nhalf\r\n"), std::string::npos);
+  EXPECT_EQ(Got.Bytes_.find("\r\n0\r\n"), std::string::npos);
+}
+
 TEST_F(HttpServerTest, BodyOverTheLimitIs413) {
   serve([](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
     Exchange->respond({200, {}, ""});
