Do not deliver a stream that ended inside an event as complete

Cause: a response without a length or chunks ends with its connection, and the router took that close for the regular end of the stream. The bytes of the unfinished event went to the caller before it. The class of the fault: the end of a message at HTTP level counts as proof that its content is complete. So streams with a last chunk or a length count as broken off as well if they end inside an event, and a response that ends with its connection must have brought an event.

A truncated stream is resumed at another endpoint where the route allows it, and else cut off; stream_truncated is logged. The answer of a stream's route that is no event stream, such as JSON, is passed on as it is.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -4,6 +4,8 @@
 
 #include "camphorwind/observe/log.h"
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -74,6 +76,13 @@
   return RefusalReason::Internal;
 }
 
+/// Whether the response is a stream of events, as far as its headers tell.
+bool mayBeEventStream(const net::HttpHeaders &Headers) {
+  constexpr std::string_view EventStreamType = "text/event-stream";
+  auto Type = Headers.find("Content-Type");
+  return !Type || boost::algorithm::istarts_with(*Type, EventStreamType);
+}
+
 std::string_view withoutPort(std::string_view Host) {
   return Host.substr(0, Host.find(':'));
 }
@@ -315,6 +324,7 @@
   ++Sends_;
   Attempt_ = Attempt();
   Attempt_.SentAt_ = Now;
+  Attempt_.EventsBefore_ = EventStream_.eventCount();
   Attempt_.LastProgressAt_ = Now;
   Attempt_.PoolAttempt_ = Context_.poolState(Pool_).Selector_.sent(
       Placement, PlacementRequest, Now);
@@ -396,8 +406,9 @@
       !Attempt_.Unattributable_ &&
       (Response.NotExecuted_ || Head.Status_ == MisdirectedRequest);
   Attempt_.Headers_ = makeResponseHeaders(Head.Headers_);
-  Attempt_.Streaming_ =
-      Success && Response.Signed_ && Route_->Kind_ == RequestKind::Stream;
+  Attempt_.Streaming_ = Success && Response.Signed_ &&
+                        Route_->Kind_ == RequestKind::Stream &&
+                        mayBeEventStream(Head.Headers_);
   return net::HeadVerdict::Accept;
 }
 
@@ -470,7 +481,7 @@
   Attempt_.UnfinishedBytes_ = EventStream_.unfinishedBytes();
   if (Result) {
     if (Attempt_.Streaming_)
-      onStreamComplete();
+      onStreamEnd();
     else
       onResponseComplete();
     return;
@@ -513,17 +524,30 @@
   EventStream_.discardUnfinished();
 }
 
-void ForwardedRequest::onStreamComplete() {
+void ForwardedRequest::onStreamEnd() {
+  std::optional<std::string> Remainder = EventStream_.finish();
+  // An endpoint that crashes may close its connection like one that is done.
+  bool ClosedBeforeEvents = Attempt_.EndsByClose_ &&
+                            EventStream_.eventCount() == Attempt_.EventsBefore_;
+  if (!Remainder || ClosedBeforeEvents) {
+    observe::log(LogLevel::Warning, "stream_truncated",
+                 {{"request", RequestMetadata_.AttemptId_},
+                  {"endpoint", Placement_.Endpoint_.str()},
+                  {"ends_by_close", Attempt_.EndsByClose_},
+                  {"unfinished_bytes", Attempt_.UnfinishedBytes_},
+                  {"events", EventStream_.eventCount()}});
+    onAttemptFailed("truncated", routing::FailureKind::LinkLost);
+    return;
+  }
   Context_.poolState(Pool_).Selector_.finished(Attempt_.PoolAttempt_,
                                                Context_.Loop_.now());
   ++PossibleRuns_;
-  std::string Remainder = EventStream_.finish();
   if (!StreamStarted_) {
     StreamStarted_ = true;
     Exchange_->startStream(Attempt_.Status_, Attempt_.Headers_);
   }
-  if (!Remainder.empty())
-    Exchange_->write(Remainder);
+  if (!Remainder->empty())
+    Exchange_->write(*Remainder);
   Exchange_->endStream();
   finish("answered", Attempt_.Status_);
 }
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -55,6 +55,8 @@
     /// The response has neither a length nor chunks: it ends with its
     /// connection.
     bool EndsByClose_ = false;
+    /// Events delivered by earlier attempts.
+    std::uint64_t EventsBefore_ = 0;
     /// Bytes after the last complete event when the response ended.
     std::size_t UnfinishedBytes_ = 0;
     unsigned Status_ = 0;
@@ -98,7 +100,8 @@
   void onEvents(const std::string &Events);
   void onEnd(const base::Result<void, net::OriginError> &Result);
   void onResponseComplete();
-  void onStreamComplete();
+  /// Handles the end of a response that is a stream.
+  void onStreamEnd();
   /// Handles an attempt that provably did not run the request.
   /// \p MayHaveArrived is false if the endpoint received no byte of the
   /// request.
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -545,6 +545,18 @@
   EXPECT_EQ(Response.Body_, Expected);
 }
 
+TEST_F(DirectRouterTest, AnswerThatIsNoEventStreamNeedsNoEvents) {
+  configure(RequestKind::Stream);
+  const std::string Answer = R"({"choices": []})";
+  addScriptedEndpoint({{"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                        "X-Signature: s\r\nContent-Type: application/json\r\n"
+                        "Content-Length: " +
+                        std::to_string(Answer.size()) + "\r\n\r\n" + Answer}});
+  CallerResponse Response = fetch(makeCall());
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(Response.Body_, Answer);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Ends, StreamEndTest,
     testing::Values(
--- a/libs/direct/include/camphorwind/direct/event-stream.h
+++ b/libs/direct/include/camphorwind/direct/event-stream.h
@@ -20,9 +20,10 @@
 
   /// Appends received bytes; returns the events that they complete, unchanged.
   std::string append(std::string_view Data);
-  /// Returns the buffered bytes after the last complete event. Call at the
-  /// regular end of the stream.
-  std::string finish();
+  /// Returns the buffered bytes after the last complete event, or nothing if
+  /// the stream ended inside an event. Empty lines and comments belong to no
+  /// event. Call when the response has ended without an error.
+  std::optional<std::string> finish();
   /// Discards the incomplete event. Call when the stream breaks off.
   void discardUnfinished() {
     Unfinished_.clear();
--- a/libs/direct/src/event-stream.cpp
+++ b/libs/direct/src/event-stream.cpp
@@ -44,6 +44,20 @@
   return Id;
 }
 
+/// Whether \p Text consists of whole lines that belong to no event.
+bool isOutsideEvents(std::string_view Text) {
+  while (!Text.empty()) {
+    std::size_t End = Text.find('\n');
+    if (End == std::string_view::npos)
+      return false;
+    std::string_view Line = Text.substr(0, End);
+    if (!Line.empty() && Line != "\r" && !Line.starts_with(':'))
+      return false;
+    Text.remove_prefix(End + 1);
+  }
+  return true;
+}
+
 } // namespace
 
 void EventStream::countEvent(std::string_view Event) {
@@ -74,7 +88,9 @@
   return Events;
 }
 
-std::string EventStream::finish() {
+std::optional<std::string> EventStream::finish() {
+  if (!isOutsideEvents(Unfinished_))
+    return std::nullopt;
   SearchFrom_ = 0;
   return std::exchange(Unfinished_, {});
 }
