Reset the connection of an aborted stream that has no chunks

A stream to a caller of HTTP/1.0 ends with its connection.

Evidence: two cases of HttpServerAbortTest (http_1_0*) failed before.

--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -119,7 +119,8 @@
   bool isNew() { return !std::exchange(Begun_, true); }
 
   /// Reads the request line and headers.
-  void begin(const char *Url, const char *Method) {
+  void begin(const char *Url, const char *Method, std::string_view Version) {
+    StreamsInChunks_ = Version != MHD_HTTP_VERSION_1_0;
     Request_.Method_ = Method;
     Request_.Path_ = Url;
     MHD_get_connection_values(Connection_, MHD_HEADER_KIND, addField,
@@ -300,8 +301,11 @@
       return MHD_CONTENT_READER_END_WITH_ERROR;
     std::size_t Size = std::min(Room, buffered());
     if (Size == 0) {
-      if (Aborted_)
+      if (Aborted_) {
+        if (!StreamsInChunks_)
+          resetConnection();
         return MHD_CONTENT_READER_END_WITH_ERROR;
+      }
       if (Ended_)
         return MHD_CONTENT_READER_END_OF_STREAM;
       suspend();
@@ -317,6 +321,17 @@
     return static_cast<ssize_t>(Size);
   }
 
+  /// Ends the connection with a reset. libmicrohttpd would shut it down first,
+  /// which is how a stream without chunks ends regularly.
+  void resetConnection() {
+    const MHD_ConnectionInfo *Info =
+        MHD_get_connection_info(Connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+    // Connecting a TCP socket to no address resets its connection.
+    sockaddr Nowhere{};
+    Nowhere.sa_family = AF_UNSPEC;
+    ::connect(Info->connect_fd, &Nowhere, sizeof(Nowhere));
+  }
+
   void notifyDrain() {
     if (!OnDrain_ || DrainPosted_)
       return;
@@ -336,6 +351,8 @@
   std::string Buffer_;
   std::size_t Sent_ = 0;
   AnswerState State_ = AnswerState::Waiting;
+  /// Streams to a caller of HTTP/1.0 end with their connection instead.
+  bool StreamsInChunks_ = true;
   bool Begun_ = false;
   bool HandlerCalled_ = false;
   bool InHandler_ = false;
@@ -396,11 +413,12 @@
 }
 
 MHD_Result onAccess(void *, MHD_Connection *, const char *Url,
-                    const char *Method, const char *, const char *UploadData,
-                    std::size_t *UploadSize, void **State) {
+                    const char *Method, const char *Version,
+                    const char *UploadData, std::size_t *UploadSize,
+                    void **State) {
   auto &Self = *static_cast<std::shared_ptr<Exchange> *>(*State);
   if (Self->isNew()) {
-    Self->begin(Url, Method);
+    Self->begin(Url, Method, Version);
     return Self->acceptsAnnouncedBody() ? MHD_YES : Self->refuseTooLarge();
   }
   if (*UploadSize > 0) {
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -7,7 +7,9 @@
 
 #include <cerrno>
 #include <chrono>
+#include <ostream>
 #include <string>
+#include <string_view>
 #include <sys/socket.h>
 #include <utility>
 
@@ -171,6 +173,55 @@
   EXPECT_EQ(Got.Bytes_.find("\r\n0\r\n"), std::string::npos);
 }
 
+struct AbortCase {
+  std::string_view Name_;
+  std::string_view Request_;
+  /// Whether the stream is sent in chunks, so that a missing last chunk shows
+  /// that it is not whole.
+  bool Chunked_ = true;
+};
+
+std::ostream &operator<<(std::ostream &Out, const AbortCase &Value) {
+  return Out << Value.Name_;
+}
+
+class HttpServerAbortTest : public HttpServerTest,
+                            public testing::WithParamInterface<AbortCase> {};
+
+/// Guards against aborted streams that look complete to a caller for whom a
+/// stream ends with its connection.
+TEST_P(HttpServerAbortTest, AbortedStreamDoesNotLookComplete) {
+  std::shared_ptr<HttpExchange> Kept;
+  Timer Abort(*Owner_, [&] { Kept->abortStream(); });
+  serve([&](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
+    Kept = std::move(Exchange);
+    Kept->startStream(200, {});
+    Kept->write("half");
+    Abort.start(std::chrono::milliseconds(20));
+  });
+  RawAnswer Got =
+      fetchRaw(*Owner_, Server_->address(), std::string(GetParam().Request_));
+  EXPECT_NE(Got.Bytes_.find("half"), std::string::npos);
+  bool Chunked =
+      Got.Bytes_.find("Transfer-Encoding: chunked") != std::string::npos;
+  EXPECT_EQ(Chunked, GetParam().Chunked_);
+  if (Chunked)
+    EXPECT_EQ(Got.Bytes_.find("\r\n0\r\n"), std::string::npos);
+  else
+    EXPECT_EQ(Got.Error_, ECONNRESET);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Versions, HttpServerAbortTest,
+    testing::Values(
+        AbortCase{"http_1_1", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+        AbortCase{"http_1_1_close",
+                  "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"},
+        AbortCase{"http_1_0", "GET / HTTP/1.0\r\n\r\n", false},
+        AbortCase{"http_1_0_keep_alive",
+                  "GET / HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n", false}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 TEST_F(HttpServerTest, BodyOverTheLimitIs413) {
   serve([](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
     Exchange->respond({200, {}, ""});
