Do not take a reset that a send noticed for the end of an answer

An answer without length or chunks is whole when its connection is closed, and broken when it is reset. A send that fails consumes the error of the socket; the next read then reports a regular end, and a truncated answer counted as whole.

Evidence: OriginClientTest.ResetNoticedBySendingDoesNotEndAnAnswerRegularly failed before: a peer that answers early, then resets the connection while the body of the request is being sent.

--- a/libs/net/src/origin-client.cpp
+++ b/libs/net/src/origin-client.cpp
@@ -110,6 +110,9 @@
   bool Reading_ = true;
   /// The answer now arriving belongs to another request.
   bool Skipping_ = false;
+  /// A failed send consumes the error of the socket: a reset connection then
+  /// reads as if the peer had closed it.
+  bool SendFailed_ = false;
   bool Dead_ = false;
 
   std::size_t bodySize() const {
@@ -341,6 +344,7 @@
   void onSendError(const ConnectionPtr &Self, int Error) {
     // An answer may have arrived before the peer stopped reading.
     if (Self->HeadSent_ > 0) {
+      Self->SendFailed_ = true;
       receive(Self);
       if (Self->Dead_ || !Self->Call_)
         return;
@@ -405,6 +409,11 @@
       restart(Self, OriginErrorKind::Closed, "closed by the peer");
       return;
     }
+    if (Self->SendFailed_) {
+      end(Self,
+          OriginError{OriginErrorKind::Reset, true, "reset inside the answer"});
+      return;
+    }
     if (!Self->Skipping_ &&
         Self->Parser_->putEnd() == detail::ParseState::Complete) {
       succeed(Self);
--- a/libs/net/test/origin-client-test.cpp
+++ b/libs/net/test/origin-client-test.cpp
@@ -290,4 +290,19 @@
   EXPECT_FALSE(Called);
 }
 
+/// Guards against a truncated answer that counts as whole because a failed send
+/// consumed the reset, after which the socket reports a regular end.
+TEST_F(OriginClientTest, ResetNoticedBySendingDoesNotEndAnAnswerRegularly) {
+  listen({{"HTTP/1.1 200 OK\r\n\r\nfour", Then::Keep, true}});
+  Timer Reset(*Owner_, [this] { Peer_->resetAll(); });
+  Reset.start(30ms);
+  // More than the socket buffers hold, so that sending goes on meanwhile.
+  constexpr std::size_t LongBody = 16UL * 1024 * 1024;
+  Outcome Found = run(request(std::string(LongBody, 'x')));
+  EXPECT_FALSE(Found.Whole_);
+  ASSERT_TRUE(Found.Error_);
+  EXPECT_EQ(Found.Error_->Kind_, OriginErrorKind::Reset);
+  EXPECT_TRUE(Found.Error_->MayHaveReached_);
+}
+
 } // namespace
--- a/libs/net/test/scripted-peer.h
+++ b/libs/net/test/scripted-peer.h
@@ -49,6 +49,12 @@
     }
   }
 
+  /// Resets the connections now.
+  void resetAll() {
+    for (auto &Each : Connections_)
+      end(*Each, Then::Reset);
+  }
+
 private:
   struct Connection {
     Socket Socket_;
