--- a/daemons/agent/endpoint-caller.cpp
+++ b/daemons/agent/endpoint-caller.cpp
@@ -114,11 +114,16 @@
   auto Found = Running_.find(Attempt);
   if (Found == Running_.end())
     return;
+  bool Truncated = Found->second.Meter_.truncated();
   if (End)
     Found->second.Meter_.finish();
   reportUsage(Attempt, Found->second);
   Running_.erase(Found);
-  Events_.OnEnd_(Attempt, End ? endOf(End.value()) : agent::endOf(End.error()));
+  if (!End)
+    Events_.OnEnd_(Attempt, agent::endOf(End.error()));
+  else
+    Events_.OnEnd_(Attempt, Truncated ? request::EndpointEnd::Failed
+                                      : endOf(End.value()));
 }
 
 /// An engine's server errors and 429 are answered by another engine; a plain
--- /dev/null
+++ b/daemons/agent/test/endpoint-caller-test.cpp
@@ -0,0 +1,87 @@
+#include "endpoint-caller.h"
+
+#include "scripted-peer.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <string_view>
+
+/// Tests the calls of an agent to an endpoint that answers byte for byte as
+/// scripted.
+namespace camphorwind::agent {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct StreamEndCase {
+  std::string_view Name_;
+  std::string_view Body_;
+  request::EndpointEnd End_ = request::EndpointEnd::Complete;
+  std::string_view ContentType_ = "text/event-stream";
+};
+
+std::ostream &operator<<(std::ostream &Out, const StreamEndCase &Value) {
+  return Out << Value.Name_;
+}
+
+class AgentStreamEndTest : public testing::TestWithParam<StreamEndCase> {};
+
+/// Guards against truncated streams that reach callers as complete because the
+/// engine's connection was closed without an error.
+TEST_P(AgentStreamEndTest, StreamIsCompleteOnlyIfItsLastEventIs) {
+  auto Loop = std::move(net::Loop::create().value());
+  auto Client = std::move(net::HttpClient::create(*Loop).value());
+  net::test::ScriptedPeer Peer(*Loop,
+                               {{"HTTP/1.1 200 OK\r\nContent-Type: " +
+                                     std::string(GetParam().ContentType_) +
+                                     "\r\n\r\n" + std::string(GetParam().Body_),
+                                 net::test::Then::Close}});
+  AgentSettings Settings;
+  Settings.Target_ = Peer.address();
+  Settings.ConnectTimeout_ = 1s;
+  Settings.StallTimeout_ = 1s;
+  std::optional<request::EndpointEnd> End;
+  EndpointEvents Events;
+  Events.OnHead_ = [](const auto &, const auto &) {};
+  Events.OnBytes_ = [](const auto &, const auto &) {};
+  Events.OnUsage_ = [](const auto &, const auto &) {};
+  Events.HasRoom_ = [](const auto &) { return true; };
+  Events.OnEnd_ = [&](const base::AttemptId &, request::EndpointEnd Ended) {
+    End = Ended;
+    Loop->stop();
+  };
+  EndpointCaller Caller(*Client, Settings, std::move(Events));
+  request::RunAtEndpoint Run;
+  Run.Attempt_ = base::AttemptId("a1");
+  Run.Call_.Path_ = "/v1/chat/completions";
+  Run.Bound_ = base::Tokens(1000);
+  net::Timer GiveUp(*Loop, [&] { Loop->stop(); });
+  GiveUp.start(5s);
+  Caller.run(Run, false);
+  Loop->run();
+  EXPECT_EQ(End, GetParam().End_);
+}
+
+constexpr auto Complete = request::EndpointEnd::Complete;
+constexpr auto Failed = request::EndpointEnd::Failed;
+
+INSTANTIATE_TEST_SUITE_P(
+    Ends, AgentStreamEndTest,
+    testing::Values(
+        StreamEndCase{"after_event", "data: 1\n\n", Complete},
+        StreamEndCase{"after_event_crlf", "data: 1\r\n\r\n", Complete},
+        StreamEndCase{"after_comment", "data: 1\n\n: 2\n", Complete},
+        StreamEndCase{"inside_line", "data: 1\n\ndata: 2", Failed},
+        StreamEndCase{"before_empty_line", "data: 1\n\ndata: 2\n", Failed},
+        StreamEndCase{"before_empty_line_crlf", "data: 1\r\n\r\ndata: 2\r\n",
+                      Failed},
+        StreamEndCase{"before_first_event", "", Failed},
+        StreamEndCase{"json", "{}", Complete, "application/json"}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
+} // namespace
+} // namespace camphorwind::agent
--- a/daemons/agent/usage-meter.cpp
+++ b/daemons/agent/usage-meter.cpp
@@ -58,7 +58,13 @@
   Pending_.clear();
 }
 
+bool UsageMeter::truncated() const {
+  return Events_ && (EventOpen_ || !Pending_.empty());
+}
+
 void UsageMeter::takeLine(std::string_view Line) {
+  if (!Line.starts_with(':'))
+    EventOpen_ = !Line.empty() && Line != "\r";
   if (Line.substr(0, DataPrefix.size()) != DataPrefix)
     return;
   if (Line.find("[DONE]") != std::string_view::npos)
--- a/daemons/agent/usage-meter.h
+++ b/daemons/agent/usage-meter.h
@@ -20,6 +20,10 @@
   /// The answer is complete.
   void finish();
 
+  /// Whether the answer so far is a stream that has ended inside an event, or
+  /// before its first one.
+  bool truncated() const;
+
   const request::Usage &usage() const { return Usage_; }
   /// True once the engine has reported its own count.
   bool reported() const { return Reported_; }
@@ -30,6 +34,9 @@
 
   bool Events_ = false;
   bool Reported_ = false;
+  /// The last line other than a comment belongs to an event that has not ended;
+  /// also before the first event.
+  bool EventOpen_ = true;
   /// An unfinished line, or the whole body when it is not a stream.
   std::string Pending_;
   request::Usage Usage_;
