--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -5,6 +5,7 @@
 #include "camphorwind/observe/log.h"
 
 #include <boost/algorithm/string/predicate.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
@@ -83,6 +84,14 @@
   return !Type || boost::algorithm::istarts_with(*Type, EventStreamType);
 }
 
+/// Hashes of the parts of a prompt, comma-separated.
+std::string partIds(const std::vector<routing::PromptPart> &Prompt) {
+  std::string Text;
+  for (const routing::PromptPart &Each : Prompt)
+    Text += fmt::format("{}{:x}", Text.empty() ? "" : ",", Each.Id_);
+  return Text;
+}
+
 std::string_view withoutPort(std::string_view Host) {
   return Host.substr(0, Host.find(':'));
 }
@@ -494,6 +503,7 @@
        {"kind", toString(Error.Kind_)},
        {"may_have_reached", Error.MayHaveReached_},
        {"detail", Error.Detail_},
+       {"parts", partIds(RequestMetadata_.PromptParts_)},
        {"after_ms", toMilliseconds(Context_.Loop_.now() - Attempt_.SentAt_)}});
   if (!Error.MayHaveReached_) {
     bool EndpointAtFault =
