Failing test: a prompt part that crashes engines reaches engine after engine

Engines of the test crash when they begin to answer a prompt with one part. 12 callers' requests with it reach 12 engines, 24 where the route allows repeats; sound requests that share the first part and the account are answered throughout. Allowed are five crashes and three more arrivals.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -243,6 +243,7 @@
     NewRoute.MaxAttempts_ = 2;
     NewRoute.Timeout_ = RouteTimeout;
     NewRoute.Resumable_ = Resumable;
+    NewRoute.HasPrompt_ = Kind == RequestKind::Stream;
     Result->addRoute(NewRoute);
     Result->addAccount({Shop, std::nullopt, base::Tokens(PrepaidTokens)},
                        {"secret"});
@@ -545,18 +546,6 @@
   EXPECT_EQ(Response.Body_, Expected);
 }
 
-TEST_F(DirectRouterTest, AnswerThatIsNoEventStreamNeedsNoEvents) {
-  configure(RequestKind::Stream);
-  const std::string Answer = R"({"choices": []})";
-  addScriptedEndpoint({{"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
-                        "X-Signature: s\r\nContent-Type: application/json\r\n"
-                        "Content-Length: " +
-                        std::to_string(Answer.size()) + "\r\n\r\n" + Answer}});
-  CallerResponse Response = fetch(makeCall());
-  EXPECT_TRUE(Response.Complete_);
-  EXPECT_EQ(Response.Body_, Answer);
-}
-
 INSTANTIATE_TEST_SUITE_P(
     Ends, StreamEndTest,
     testing::Values(
@@ -582,6 +571,76 @@
                       true, 1}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+TEST_F(DirectRouterTest, AnswerThatIsNoEventStreamNeedsNoEvents) {
+  configure(RequestKind::Stream);
+  const std::string Answer = R"({"choices": []})";
+  addScriptedEndpoint({{"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                        "X-Signature: s\r\nContent-Type: application/json\r\n"
+                        "Content-Length: " +
+                        std::to_string(Answer.size()) + "\r\n\r\n" + Answer}});
+  CallerResponse Response = fetch(makeCall());
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(Response.Body_, Answer);
+}
+
+/// Engines that crash when they begin to answer a prompt with a certain part.
+class CrashingPartTest : public DirectRouterTest,
+                         public testing::WithParamInterface<bool> {
+protected:
+  static constexpr std::string_view Part = "bad1";
+
+  void addEngine() {
+    Engines_.push_back(std::make_unique<net::test::ScriptedPeer>(
+        *Loop_, [this](const std::string &Request) -> net::test::Reply {
+          if (Request.find(std::string(Part) + ":") == std::string::npos)
+            return endedByLength(AllEvents);
+          ++Arrivals_;
+          return {"", net::test::Then::Crash};
+        }));
+    list(std::string("i").append(std::to_string(Engines_.size())),
+         Engines_.back()->address());
+  }
+
+  /// Sends a request whose prompt has \p Middle between a part that all
+  /// requests share and one of its own.
+  CallerResponse ask(std::string_view Middle) {
+    net::OriginRequest Request = makeCall();
+    std::string Prompt = "5a:800,";
+    Prompt.append(Middle).append(":90,f");
+    Prompt.append(std::to_string(++Asked_)).append(":10");
+    Request.Headers_.add("X-Prompt-Parts", std::move(Prompt));
+    return fetch(std::move(Request));
+  }
+
+  std::vector<std::unique_ptr<net::test::ScriptedPeer>> Engines_;
+  /// Requests with the part that have reached engines.
+  int Arrivals_ = 0;
+  int Asked_ = 0;
+};
+
+/// Guards against requests with one prompt part that crash engine after engine,
+/// whether callers send new ones or the router repeats them.
+TEST_P(CrashingPartTest, RequestsWithThePartStopReachingEngines) {
+  configure(RequestKind::Stream, GetParam());
+  constexpr unsigned Ok = 200;
+  constexpr int Rounds = 12;
+  // Each request may crash two engines.
+  for (int Engine = 0; Engine <= 2 * Rounds; ++Engine)
+    addEngine();
+  int SoundAnswers = 0;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    SoundAnswers += ask("50d").Status_ == Ok ? 1 : 0;
+    ask(Part);
+    wait(150ms);
+  }
+  constexpr int CrashesUntilKnown = 5;
+  constexpr int MaxLater = 3;
+  EXPECT_LE(Arrivals_, CrashesUntilKnown + MaxLater);
+  EXPECT_EQ(SoundAnswers, Rounds);
+}
+
+INSTANTIATE_TEST_SUITE_P(Resumable, CrashingPartTest, testing::Bool());
+
 TEST_F(DirectRouterTest, StreamThatNeverEndsItsEventIsResumedElsewhere) {
   configure(RequestKind::Stream, true);
   addEndpoint(
