Bound answers and events that never end

An engine in trouble may send bytes that are no answer until its caller closes. A call took up to 2 GB of them within seconds: the size line, the extension and the trailer of chunks, answers to other requests, interim answers, the body of a collected response and an unfinished event had no bound, and a peer that sends as fast as it is read kept the loop from its timers.

Now each of them ends the attempt, which is repeated where the route allows it, and a connection is read for at most 256 KB before others get their turn. Whole events before an endless one are delivered.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -38,6 +38,10 @@
 constexpr milliseconds MaxIdleIfNotRepeatable = 2000ms;
 /// Longest idle time of a connection that is reused for repeatable requests.
 constexpr milliseconds MaxIdleIfRepeatable = 10000ms;
+/// Largest response that is collected before it is delivered.
+constexpr std::size_t MaxResponseBytes = 8UL * 1024 * 1024;
+/// Largest event of a stream.
+constexpr std::size_t MaxEventBytes = 1024UL * 1024;
 constexpr milliseconds ConnectTimeout = 500ms;
 /// A stream that sends no data for this long is resumed at another endpoint, if
 /// the route allows it; after half of this time if the endpoint sends nothing
@@ -462,21 +466,37 @@
   if (!Attempt_.Streaming_) {
     Attempt_.LastProgressAt_ = Now;
     Attempt_.Body_.append(Data);
+    if (Attempt_.Body_.size() > MaxResponseBytes)
+      onOversized();
     return;
   }
   bool HadEvents = EventStream_.eventCount() > 0;
   std::string Events = EventStream_.append(Data);
   // Bytes that never complete an event are no progress.
-  if (Events.empty())
-    return;
-  if (HadEvents)
-    Attempt_.LongestGap_ =
-        std::max(Attempt_.LongestGap_, Now - Attempt_.LastProgressAt_);
-  Attempt_.LastProgressAt_ = Now;
-  auto &Selector = Context_.poolState(Pool_).Selector_;
-  Selector.answered(Attempt_.PoolAttempt_, Now);
-  Selector.progressed(Attempt_.PoolAttempt_, Now);
-  onEvents(Events);
+  if (!Events.empty()) {
+    if (HadEvents)
+      Attempt_.LongestGap_ =
+          std::max(Attempt_.LongestGap_, Now - Attempt_.LastProgressAt_);
+    Attempt_.LastProgressAt_ = Now;
+    auto &Selector = Context_.poolState(Pool_).Selector_;
+    Selector.answered(Attempt_.PoolAttempt_, Now);
+    Selector.progressed(Attempt_.PoolAttempt_, Now);
+    onEvents(Events);
+  }
+  if (EventStream_.unfinishedBytes() > MaxEventBytes)
+    onOversized();
+}
+
+void ForwardedRequest::onOversized() {
+  Context_.Origins_.cancel(Attempt_.Call_);
+  AttemptActive_ = false;
+  observe::log(LogLevel::Warning, "response_oversized",
+               {{"request", RequestMetadata_.AttemptId_},
+                {"endpoint", Placement_.Endpoint_.str()},
+                {"streaming", Attempt_.Streaming_},
+                {"bytes", Attempt_.Body_.size()},
+                {"unfinished_bytes", EventStream_.unfinishedBytes()}});
+  onAttemptFailed("oversized", routing::FailureKind::Failed);
 }
 
 void ForwardedRequest::onEvents(const std::string &Events) {
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -101,6 +101,8 @@
                           base::TimePoint Now);
   void onBody(std::string_view Data);
   void onEvents(const std::string &Events);
+  /// Ends an attempt whose response is larger than any may be.
+  void onOversized();
   void onEnd(const base::Result<void, net::OriginError> &Result);
   void onResponseComplete();
   /// Handles the end of a response that is a stream.
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -583,6 +583,50 @@
   EXPECT_EQ(Response.Body_, Answer);
 }
 
+struct EndlessBodyCase {
+  std::string_view Name_;
+  RequestKind Kind_ = RequestKind::Idempotent;
+  std::string_view Endless_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const EndlessBodyCase &Value) {
+  return Out << Value.Name_;
+}
+
+class EndlessBodyTest : public DirectRouterTest,
+                        public testing::WithParamInterface<EndlessBodyCase> {};
+
+/// Guards against responses whose bytes never end, which would fill the memory
+/// of the router.
+TEST_P(EndlessBodyTest, EndsTheAttemptAndServesOthers) {
+  configure(GetParam().Kind_, true);
+  // A whole event before the endless one is delivered once.
+  bool IsStream = GetParam().Kind_ == RequestKind::Stream;
+  net::test::Reply Endless = {streamHead("") + (IsStream ? OneEvent : "")};
+  Endless.Endless_ = std::string(GetParam().Endless_);
+  addScriptedEndpoint({Endless});
+  Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+  list("e1", Endpoints_[0]->address(), "far");
+  Script_->push_back(IsStream ? EndpointBehavior::CompleteStream
+                              : EndpointBehavior::Respond);
+  net::OriginRequest Request = makeCall();
+  CallerResponse Response = fetch(std::move(Request));
+  EXPECT_EQ(Response.Status_, 200u);
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(Response.Body_, IsStream ? AllEvents : "whole");
+  EXPECT_EQ(receivedRequests(), 1u);
+  constexpr std::size_t MaxBytes = 32UL * 1024 * 1024;
+  EXPECT_LE(ScriptedEndpoints_[0]->floodedBytes(), MaxBytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies, EndlessBodyTest,
+    testing::Values(EndlessBodyCase{"answer", RequestKind::Idempotent, "a"},
+                    EndlessBodyCase{"event", RequestKind::Stream, "a"},
+                    EndlessBodyCase{"event_lines", RequestKind::Stream,
+                                    "data: a\n"}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 /// Engines that crash when they begin to answer a prompt with a certain part.
 class CrashingPartTest : public DirectRouterTest,
                          public testing::WithParamInterface<bool> {
--- a/libs/net/include/camphorwind/net/origin-client.h
+++ b/libs/net/include/camphorwind/net/origin-client.h
@@ -65,7 +65,8 @@
   TooManyConnections, ///< The limit for this endpoint is reached.
   Reset,              ///< The peer reset the connection.
   Closed,             ///< The connection ended before the answer did.
-  Malformed,          ///< The bytes received are no HTTP answer.
+  Malformed,          ///< The bytes received are no HTTP answer, or are
+                      ///< endless answers to other requests.
 };
 
 /// Returns the name used in logs and metrics, such as "not_connected".
@@ -93,7 +94,7 @@
   std::size_t IdlePerEndpoint_ = 32;
   /// A connection idle for longer is closed.
   std::chrono::milliseconds IdleTimeout_{30000};
-  /// Largest header section of an answer, in bytes.
+  /// Largest header section, trailer or line of an answer, in bytes.
   std::uint32_t HeaderBytes_ = 64 * 1024;
 };
 
--- a/libs/net/src/origin-client.cpp
+++ b/libs/net/src/origin-client.cpp
@@ -36,6 +36,16 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 16UL * 1024;
+/// Reads of one connection until others get their turn. A peer that sends as
+/// fast as it is read would otherwise keep the loop from anything else.
+constexpr int MaxReadsPerTurn = 16;
+/// Reads of a connection whose peer has stopped reading: what it sent before
+/// that is in the buffers of the system.
+constexpr int MaxReadsAfterFailedSend = 1024;
+/// Answers to other requests, and interim ones, that one call waits through.
+constexpr unsigned MaxSkippedAnswers = 16;
+/// Bytes of such answers.
+constexpr std::size_t MaxSkippedBytes = 1024UL * 1024;
 /// A peer closes an idle connection at the time that it announced; one that
 /// is nearly that old is not used again.
 constexpr std::chrono::milliseconds KeepAliveMargin{1000};
@@ -103,6 +113,9 @@
   std::size_t HeadSent_ = 0;
   std::size_t BodySent_ = 0;
   std::string Input_;
+  /// Answers, and bytes of their bodies, that the call has skipped.
+  unsigned SkippedAnswers_ = 0;
+  std::size_t SkippedBytes_ = 0;
   std::chrono::milliseconds KeepFor_{0};
   base::TimePoint IdleSince_{};
   bool Connecting_ = false;
@@ -216,6 +229,8 @@
     To->Head_ = detail::serialize(Call.Request_);
     To->HeadSent_ = 0;
     To->BodySent_ = 0;
+    To->SkippedAnswers_ = 0;
+    To->SkippedBytes_ = 0;
     To->Reading_ = true;
     To->Call_ = std::make_shared<OriginCall>(std::move(Call));
     ByCall_[To->Call_->Id_] = To;
@@ -237,6 +252,8 @@
       onHead(*Self, Head);
     };
     Events.OnBody_ = [Self = &For](std::string_view Data) {
+      if (Self->Skipping_)
+        Self->SkippedBytes_ += Data.size();
       if (std::shared_ptr<OriginCall> Call = Self->Call_;
           Call && !Self->Skipping_ && !Self->Dead_)
         Call->Events_.OnBody_(Data);
@@ -345,7 +362,7 @@
     // An answer may have arrived before the peer stopped reading.
     if (Self->HeadSent_ > 0) {
       Self->SendFailed_ = true;
-      receive(Self);
+      receive(Self, detail::MaxReadsAfterFailedSend);
       if (Self->Dead_ || !Self->Call_)
         return;
       end(Self,
@@ -368,9 +385,12 @@
       fail(std::move(*Call), {Kind, false, Detail});
   }
 
-  void receive(const ConnectionPtr &Self) {
+  void receive(const ConnectionPtr &Self,
+               int MaxReads = detail::MaxReadsPerTurn) {
     char Buffer[detail::ReadBytes];
-    while (!Self->Dead_ && Self->Call_ && Self->Reading_) {
+    for (int Read = 0;
+         Read < MaxReads && !Self->Dead_ && Self->Call_ && Self->Reading_;
+         ++Read) {
       ssize_t Got = ::recv(Self->Socket_.fd(), Buffer, sizeof(Buffer), 0);
       if (Got > 0 && Self->HeadSent_ == 0) {
         restart(Self, OriginErrorKind::Malformed, "bytes before a request");
@@ -427,6 +447,9 @@
     while (!Self->Dead_ && Self->Call_ && !Self->Input_.empty()) {
       switch (Self->Parser_->put(Self->Input_)) {
       case detail::ParseState::NeedMore:
+        if (!Self->Dead_ && Self->Call_ && exceedsLimits(*Self))
+          end(Self, OriginError{OriginErrorKind::Malformed, true,
+                                "bytes without end"});
         return;
       case detail::ParseState::Failed:
         if (!Self->Dead_ && Self->Call_)
@@ -442,10 +465,23 @@
         succeed(Self);
         return;
       }
+      if (++Self->SkippedAnswers_ > detail::MaxSkippedAnswers ||
+          exceedsLimits(*Self)) {
+        end(Self, OriginError{OriginErrorKind::Malformed, true,
+                              "answers to other requests without end"});
+        return;
+      }
       newParser(*Self);
     }
   }
 
+  /// Whether the peer has sent more than any answer may have before or between
+  /// the parts of its body.
+  bool exceedsLimits(const OriginConnection &Self) const {
+    return Self.Input_.size() > Limits_.HeaderBytes_ ||
+           Self.SkippedBytes_ > detail::MaxSkippedBytes;
+  }
+
   void succeed(const ConnectionPtr &Self) {
     bool Whole = Self->sentWhole();
     bool Extra = !Self->Input_.empty();
--- a/libs/net/test/origin-client-test.cpp
+++ b/libs/net/test/origin-client-test.cpp
@@ -305,4 +305,60 @@
   EXPECT_TRUE(Found.Error_->MayHaveReached_);
 }
 
+struct EndlessCase {
+  std::string_view Name_;
+  std::string_view Start_;
+  std::string_view Endless_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const EndlessCase &Value) {
+  return Out << Value.Name_;
+}
+
+class OriginClientEndlessTest
+    : public OriginClientTest,
+      public testing::WithParamInterface<EndlessCase> {};
+
+/// Guards against a peer that sends bytes that are no answer until the caller
+/// closes, which would take memory or time without end.
+TEST_P(OriginClientEndlessTest, BytesThatAreNoAnswerEndTheCall) {
+  listen({{std::string(GetParam().Start_), Then::Keep, false,
+           std::string(GetParam().Endless_)}});
+  Outcome Found = run(request());
+  ASSERT_TRUE(Found.Error_) << "not ended after " << Peer_->floodedBytes();
+  EXPECT_EQ(Found.Error_->Kind_, OriginErrorKind::Malformed);
+  EXPECT_TRUE(Found.Error_->MayHaveReached_);
+  // What the sockets and the limits of head and skipped answers hold.
+  constexpr std::size_t MaxBytes = 16UL * 1024 * 1024;
+  EXPECT_LE(Peer_->floodedBytes(), MaxBytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bytes, OriginClientEndlessTest,
+    testing::Values(
+        EndlessCase{"garbage", "", "garbage"},
+        EndlessCase{"zeros", "", std::string_view("\0\0\0\0", 4)},
+        EndlessCase{"line_ends", "", "\r\n"},
+        EndlessCase{"status_line", "HTTP/1.1 200 ", "OK"},
+        EndlessCase{"header_line", "HTTP/1.1 200 OK\r\nX-A: ", "a"},
+        EndlessCase{"header_lines", "HTTP/1.1 200 OK\r\n", "X-A: a\r\n"},
+        EndlessCase{"interim_answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        EndlessCase{"foreign_answers", "",
+                    "HTTP/1.1 200 OK\r\nX-Id: other\r\n"
+                    "Content-Length: 0\r\n\r\n"},
+        EndlessCase{"foreign_body", "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n",
+                    "a"},
+        EndlessCase{"chunk_size",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "0"},
+        EndlessCase{"chunk_extension",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "1;a=",
+                    "b"},
+        EndlessCase{"trailer",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "0\r\n",
+                    "X-A: a\r\n"}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 } // namespace
--- a/libs/net/test/scripted-peer.h
+++ b/libs/net/test/scripted-peer.h
@@ -4,6 +4,7 @@
 #include "camphorwind/net/loop.h"
 #include "camphorwind/net/socket.h"
 
+#include <cerrno>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -24,6 +25,8 @@
   Then Then_ = Then::Keep;
   /// Answers as soon as the head of the request is there.
   bool Early_ = false;
+  /// Sent after Bytes_ again and again, until the caller closes.
+  std::string Endless_;
 };
 
 /// Accepts connections and answers each request with the next scripted reply.
@@ -44,6 +47,8 @@
   }
 
   const base::Address &address() const { return Address_; }
+  /// Bytes that were sent without end so far.
+  std::size_t floodedBytes() const { return FloodedBytes_; }
   std::size_t requests() const { return Requests_; }
   std::size_t connections() const { return Connections_.size(); }
   /// Closes every connection at its next request, without an answer.
@@ -115,12 +120,34 @@
     const Reply Now = Answer_ ? Answer_(Request) : Script_[Next_++];
     ::send(From.Socket_.fd(), Now.Bytes_.data(), Now.Bytes_.size(),
            MSG_NOSIGNAL);
-    if (Now.Then_ == Then::Crash)
+    if (!Now.Endless_.empty())
+      flood(From, Now.Endless_);
+    else if (Now.Then_ == Then::Crash)
       crash();
     else
       end(From, Now.Then_);
   }
 
+  void flood(Connection &Of, const std::string &Text) {
+    // Bounds the time for which one connection keeps the loop busy.
+    constexpr std::size_t MaxBytesAtOnce = 256UL * 1024;
+    std::string Block;
+    while (Block.size() < MaxBytesAtOnce)
+      Block += Text;
+    Of.Watcher_ = std::make_unique<FdWatcher>(
+        Owner_, [this, &Of, Block = std::move(Block)](bool, bool) {
+          ssize_t Put =
+              ::send(Of.Socket_.fd(), Block.data(), Block.size(), MSG_NOSIGNAL);
+          // A part of the text sent is whole only by chance from here on, which
+          // makes no difference to bytes that are no answer.
+          if (Put > 0)
+            FloodedBytes_ += static_cast<std::size_t>(Put);
+          else if (errno != EAGAIN && errno != EINTR)
+            Of.Watcher_->stop();
+        });
+    Of.Watcher_->start(Of.Socket_.fd(), Interest::Write);
+  }
+
   void crash() {
     Accepting_.stop();
     Listening_.close();
@@ -143,6 +170,7 @@
   std::function<Reply(const std::string &)> Answer_;
   std::size_t Next_ = 0;
   std::size_t Requests_ = 0;
+  std::size_t FloodedBytes_ = 0;
   bool DropNext_ = false;
   Socket Listening_;
   base::Address Address_;
