--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -329,7 +329,7 @@
     // Connecting a TCP socket to no address resets its connection.
     sockaddr Nowhere{};
     Nowhere.sa_family = AF_UNSPEC;
-    ::connect(Info->connect_fd, &Nowhere, sizeof(Nowhere));
+    static_cast<void>(::connect(Info->connect_fd, &Nowhere, sizeof(Nowhere)));
   }
 
   void notifyDrain() {
--- a/libs/routing/test/prompt-quarantine-test.cpp
+++ b/libs/routing/test/prompt-quarantine-test.cpp
@@ -33,6 +33,7 @@
   static PromptPartId Own = 1'000'000;
   std::vector<PromptPart> Result;
   Parts.push_back(++Own);
+  Result.reserve(Parts.size());
   for (PromptPartId Each : Parts)
     Result.push_back({Each, 100});
   return Result;
@@ -273,8 +274,9 @@
     // Sound requests share the first part and one of 40 documents, half of
     // which appear only in the course of the run.
     constexpr PromptPartId FirstDocument = 100;
-    auto Age = std::chrono::duration<double>(Now_ - at(0ms)).count();
-    std::size_t Documents = 20 + std::min<std::size_t>(20, Age);
+    auto Age = std::chrono::duration_cast<std::chrono::seconds>(Now_ - at(0ms));
+    std::size_t Documents =
+        20 + std::min<std::size_t>(20, static_cast<std::size_t>(Age.count()));
     PromptPartId Document = FirstDocument + pick(Documents);
     Request Made;
     Made.Bad_ = WithBadPart;
