Refuse requests from the end of the drain delay on, not from the next tick

The router got SIGTERM at 6.268 s, accepted the request at 9.277 s, 3.009 s later, and ended 7.25 s after SIGTERM with the stream still running.

Cause: new requests were refused only once a tick, every 50 ms, had found the delay of 3 s over, and the delay counts from when the process handles the signal. The delay now ends 2.8 s after that, which two failed polls of the balancer fit into, and is checked when a request arrives.

Evidence: ShortDrainTest.NoRequestIsAcceptedAfterTheDrainDelay failed 6 times of 6 before.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -234,6 +234,7 @@
       return;
     Context_.Stopping_ = true;
     StopRequestedAt_ = Context_.Loop_.now();
+    Context_.RefusesFrom_ = StopRequestedAt_ + Context_.Settings_.DrainDelay_;
     OnStopped_ = std::move(OnStopped);
     CallerServer_->closeAfterAnswers();
     observe::log(LogLevel::Info, "stopping",
@@ -243,14 +244,14 @@
 
   void continueStop(base::TimePoint Now) {
     base::Duration Elapsed = Now - StopRequestedAt_;
-    if (Elapsed >= Context_.Settings_.DrainDelay_) {
-      Context_.RefusesNew_ = true;
+    bool RefusesNew = Context_.refusesNew(Now);
+    if (RefusesNew) {
       CallerServer_->stopAccepting();
       // Return the tokens that open requests do not need now instead of at the
       // end: the table may be unreachable when the last request has ended.
       Context_.Escrow_.close();
     }
-    bool Idle = Context_.RefusesNew_ && Context_.OpenRequests_.empty() &&
+    bool Idle = RefusesNew && Context_.OpenRequests_.empty() &&
                 CallerServer_->inProgress() == 0;
     if ((Idle && Context_.Escrow_.closed()) ||
         Elapsed >= Context_.Settings_.ShutdownTimeout_) {
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -127,7 +127,7 @@
 std::optional<RefusalReason> ForwardedRequest::admit() {
   RequestMetadata_ =
       parseRequestHeaders(Request_.Headers_, Context_.Settings_.Headers_);
-  if (Context_.RefusesNew_)
+  if (Context_.refusesNew(ArrivedAt_))
     return RefusalReason::ShuttingDown;
   if (!View_)
     return RefusalReason::NotReady;
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -63,6 +63,10 @@
   void quarantineChanged();
   /// Takes the changes of Endpoints_ over into the pools.
   void applyEndpointChanges();
+  /// Whether a request that arrives now is refused because of a stop.
+  bool refusesNew(base::TimePoint Now) const {
+    return RefusesFrom_ && Now >= *RefusesFrom_;
+  }
   /// Returns a copy of OpenRequests_, since requests may end during iteration.
   std::vector<std::shared_ptr<ForwardedRequest>> openRequests() const {
     return {OpenRequests_.begin(), OpenRequests_.end()};
@@ -97,8 +101,8 @@
   std::optional<base::TimePoint> SourceLostAt_;
   /// A stop was requested; new requests are still accepted for a while.
   bool Stopping_ = false;
-  /// New requests are refused.
-  bool RefusesNew_ = false;
+  /// When new requests begin to be refused; unset if no stop was requested.
+  std::optional<base::TimePoint> RefusesFrom_;
   /// Called when a request starts to wait for tokens; may be empty.
   std::function<void()> OnTokensNeeded_;
 };
--- a/daemons/direct/settings.h
+++ b/daemons/direct/settings.h
@@ -26,8 +26,9 @@
   routing::RetryWindowOptions Retries_;
   /// How long requests are accepted after SIGTERM, until the load balancer has
   /// noticed: it polls every second and needs two failed polls. Requests that
-  /// arrive later could not finish within ShutdownTimeout_.
-  std::chrono::milliseconds DrainDelay_{3000};
+  /// arrive later could not finish within ShutdownTimeout_. A busy process
+  /// notices SIGTERM late, and a caller may count from when it was sent.
+  std::chrono::milliseconds DrainDelay_{2800};
   /// Longest time from SIGTERM to the end of the process.
   std::chrono::milliseconds ShutdownTimeout_{7200};
 };
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -202,7 +202,7 @@
 
 class DirectRouterTest : public testing::Test {
 protected:
-  DirectRouterTest()
+  explicit DirectRouterTest(std::chrono::milliseconds DrainDelay = 100ms)
       : Loop_(std::move(net::Loop::create().value())), Caller_(*Loop_, {}) {
     budget::EscrowSettings EscrowOptions;
     EscrowOptions.Router_ = base::RouterId("r");
@@ -213,7 +213,7 @@
     Settings.Domain_ = base::FailureDomainId("here");
     Settings.Listen_ = freeAddress();
     Settings.ReadinessListen_ = freeAddress();
-    Settings.DrainDelay_ = 100ms;
+    Settings.DrainDelay_ = DrainDelay;
     Settings.ShutdownTimeout_ = 2s;
     Listen_ = Settings.Listen_;
     ReadinessListen_ = Settings.ReadinessListen_;
@@ -934,6 +934,24 @@
   EXPECT_TRUE(Stopped);
 }
 
+class ShortDrainTest : public DirectRouterTest {
+protected:
+  ShortDrainTest() : DirectRouterTest(5ms) {}
+};
+
+/// Guards against requests that are accepted after the drain delay and then cut
+/// off, when the process ends.
+TEST_F(ShortDrainTest, NoRequestIsAcceptedAfterTheDrainDelay) {
+  configure(RequestKind::NonIdempotent);
+  addEndpoint();
+  // Kept connections are served after the listening socket is closed.
+  EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+  Router_->stop([] {});
+  wait(8ms);
+  EXPECT_NE(fetch(makeCall()).Status_, 200u);
+  EXPECT_EQ(receivedRequests(), 1u);
+}
+
 TEST_F(DirectRouterTest, StoppingRouterReturnsTokensNotReservedByOpenRequests) {
   configure(RequestKind::NonIdempotent);
   addEndpoint({EndpointBehavior::NoResponse});
