Clear a part only by an answer, not by a rejection

An engine that turns a prompt down, with 400 for example, has not begun to answer it. The quarantine took this for proof that the parts of the prompt are sound and dropped the crashes before it, so that more engines were lost.

Evidence: CrashingPartTest.RejectionDoesNotClearThePart failed before, with 5 arrivals instead of 4.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -573,7 +573,10 @@
   base::TimePoint Now = Context_.Loop_.now();
   Context_.poolState(Pool_).Selector_.finished(Attempt_.PoolAttempt_, Now);
   ++PossibleRuns_;
-  Context_.Quarantine_.answered(prompt(), Attempt_.SentAt_, Now);
+  // An engine may turn a prompt down before it begins to answer it.
+  constexpr unsigned FirstErrorStatus = 300;
+  if (Attempt_.Status_ < FirstErrorStatus)
+    Context_.Quarantine_.answered(prompt(), Attempt_.SentAt_, Now);
 }
 
 void ForwardedRequest::recordFailure(routing::FailureKind Kind) {
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -638,7 +638,9 @@
         *Loop_, [this](const std::string &Request) -> net::test::Reply {
           if (Request.find(std::string(Part) + ":") == std::string::npos)
             return endedByLength(AllEvents);
-          ++Arrivals_;
+          if (++Arrivals_ == RejectedArrival_)
+            return {"HTTP/1.1 400 Bad Request\r\nX-Attempt-Id: a1\r\n"
+                    "X-Signature: s\r\nContent-Length: 0\r\n\r\n"};
           return {"", net::test::Then::Crash};
         }));
     list(std::string("i").append(std::to_string(Engines_.size())),
@@ -659,9 +661,29 @@
   std::vector<std::unique_ptr<net::test::ScriptedPeer>> Engines_;
   /// Requests with the part that have reached engines.
   int Arrivals_ = 0;
+  /// Number of the arrival that is answered 400 instead; 0 for none.
+  int RejectedArrival_ = 0;
   int Asked_ = 0;
 };
 
+/// Guards against a part that is cleared by a rejection, which an engine may
+/// send before it begins to answer.
+TEST_P(CrashingPartTest, RejectionDoesNotClearThePart) {
+  configure(RequestKind::Stream, false);
+  constexpr int CrashesUntilQuarantine = 3;
+  RejectedArrival_ = CrashesUntilQuarantine;
+  for (int Engine = 0; Engine <= CrashesUntilQuarantine; ++Engine)
+    addEngine();
+  constexpr unsigned ServiceUnavailable = 503;
+  unsigned Status = 0;
+  for (int Round = 0; Round <= CrashesUntilQuarantine + 1; ++Round) {
+    Status = ask(Part).Status_;
+    wait(300ms);
+  }
+  EXPECT_EQ(Status, ServiceUnavailable);
+  EXPECT_EQ(Arrivals_, CrashesUntilQuarantine + 1);
+}
+
 /// Guards against requests with one prompt part that crash engine after engine,
 /// whether callers send new ones or the router repeats them.
 TEST_P(CrashingPartTest, RequestsWithThePartStopReachingEngines) {
