Keep the crashes that a quarantine rests on

When over 512 crashes were known, the oldest were dropped, and with them a quarantine that should have lasted: requests with the part reached engines again. Now the oldest that no quarantine rests on is dropped.

Evidence: PromptQuarantineStateTest.OutlastsManyCrashesOfOtherCauses failed before.

--- a/libs/routing/include/camphorwind/routing/prompt-quarantine.h
+++ b/libs/routing/include/camphorwind/routing/prompt-quarantine.h
@@ -122,6 +122,8 @@
   void acquit(PromptPartId Part, base::TimePoint At, base::TimePoint Now);
   std::unordered_map<PromptPartId, Blame>
   countCrashes(const std::set<std::string> &Explained) const;
+  /// Drops the oldest crash that no quarantine rests on, if there is one.
+  void dropOldestCrash();
   /// Derives Blames_ and Quarantined_ from Crashes_ if these have changed.
   void refresh();
 
--- a/libs/routing/src/prompt-quarantine.cpp
+++ b/libs/routing/src/prompt-quarantine.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Most crashes that are kept; the oldest are dropped first.
+/// Crashes that are kept, besides those that a quarantine rests on.
 constexpr std::size_t MaxCrashes = 512;
 /// Most parts whose last answer is kept, in each half.
 constexpr std::size_t MaxSoundParts = 50'000;
@@ -64,18 +64,33 @@
   for (PromptPartId Each : Report.Parts_)
     if (!Acquitted_.contains({Each, Report.Crash_}))
       Entry.Parts_.insert(Each);
-  if (Crashes_.size() > MaxCrashes)
-    Crashes_.erase(std::min_element(Crashes_.begin(), Crashes_.end(),
-                                    [](const auto &A, const auto &B) {
-                                      return A.second.At_ < B.second.At_;
-                                    }));
   Changed_ = true;
+  if (Crashes_.size() > MaxCrashes)
+    dropOldestCrash();
   // This router may know better than the one that reported the crash.
   for (PromptPartId Each : Report.Parts_)
     if (isSound(Each, Now))
       acquit(Each, Report.At_, Now);
 }
 
+void PromptQuarantine::dropOldestCrash() {
+  refresh();
+  auto Oldest = Crashes_.end();
+  for (auto Each = Crashes_.begin(); Each != Crashes_.end(); ++Each) {
+    const Crash &Entry = Each->second;
+    bool Quarantines = std::any_of(
+        Entry.Parts_.begin(), Entry.Parts_.end(),
+        [&](PromptPartId Part) { return Quarantined_.contains(Part); });
+    if (!Quarantines &&
+        (Oldest == Crashes_.end() || Entry.At_ < Oldest->second.At_))
+      Oldest = Each;
+  }
+  if (Oldest == Crashes_.end())
+    return;
+  Crashes_.erase(Oldest);
+  Changed_ = true;
+}
+
 void PromptQuarantine::addSound(const SoundReport &Report,
                                 base::TimePoint Now) {
   for (const std::string &Each : Report.Crashes_) {
--- a/libs/routing/test/prompt-quarantine-test.cpp
+++ b/libs/routing/test/prompt-quarantine-test.cpp
@@ -171,6 +171,20 @@
   EXPECT_FALSE(Quarantine.takeChanges().at(0).Quarantined_);
 }
 
+/// Guards against a quarantine that ends early because many other engines
+/// crash.
+TEST(PromptQuarantineStateTest, OutlastsManyCrashesOfOtherCauses) {
+  PromptQuarantine Quarantine;
+  constexpr int Crashes = 1000;
+  for (int Crash = 0; Crash < Crashes; ++Crash) {
+    PromptPartId Part =
+        Crash < 3 ? Bad : 100 + static_cast<PromptPartId>(Crash);
+    Quarantine.addCrash({std::to_string(Crash), {Part}, at(Crash * 300ms)},
+                        at(Crash * 300ms));
+  }
+  EXPECT_TRUE(Quarantine.quarantineTime(prompt({Bad}), at(Crashes * 300ms)));
+}
+
 TEST(PromptQuarantineStateTest, AnAnswerElsewhereReleasesThePartEverywhere) {
   PromptQuarantine Here;
   PromptQuarantine There;
