Log the request limits that endpoints state

No line said what a router knew of a limit, so that the hypotheses could not be told apart. The header is parsed and logged; the limit does not change any decision yet. Unreadable values are reported, and neither state nor end a limit. An answer ends it only if its request was sent after the limit was stated, as answers on different connections overtake each other.

RequestLimitHeaderTest: 11 values.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -457,10 +457,33 @@
         LogLevel::Info, "endpoint_held_off",
         {{"endpoint", Endpoint}, {"for_ms", Response.HoldOff_->count()}});
   }
+  applyRequestLimit(Response, Now);
   if (Response.Leaving_)
     Context_.endpointLeaving(Placement_.Endpoint_);
 }
 
+void ForwardedRequest::applyRequestLimit(const ResponseMetadata &Response,
+                                         base::TimePoint Now) {
+  auto &Selector = Context_.poolState(Pool_).Selector_;
+  const std::string &Endpoint = Placement_.Endpoint_.str();
+  if (Response.RequestLimit_) {
+    if (Selector.limitRequests(Placement_.Endpoint_, *Response.RequestLimit_,
+                               Now))
+      observe::log(LogLevel::Info, "endpoint_limited",
+                   {{"endpoint", Endpoint},
+                    {"per_second", *Response.RequestLimit_},
+                    {"request", RequestMetadata_.AttemptId_}});
+    return;
+  }
+  // An answer without the id may be a late copy of one from before the limit.
+  if (Response.RequestLimitUnreadable_ || Response.AttemptId_.empty())
+    return;
+  if (Selector.endRequestLimit(Placement_.Endpoint_, Attempt_.SentAt_))
+    observe::log(
+        LogLevel::Info, "endpoint_limit_ended",
+        {{"endpoint", Endpoint}, {"request", RequestMetadata_.AttemptId_}});
+}
+
 void ForwardedRequest::onBody(std::string_view Data) {
   base::TimePoint Now = Context_.Loop_.now();
   if (!Attempt_.Streaming_) {
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -99,6 +99,9 @@
   /// Applies what the chosen endpoint states about itself in a response.
   void applyEndpointState(const ResponseMetadata &Response,
                           base::TimePoint Now);
+  /// Takes over the request limit that the chosen endpoint states, or that it
+  /// states none any more.
+  void applyRequestLimit(const ResponseMetadata &Response, base::TimePoint Now);
   void onBody(std::string_view Data);
   void onEvents(const std::string &Events);
   /// Ends an attempt whose response is larger than any may be.
--- a/libs/direct/include/camphorwind/direct/headers.h
+++ b/libs/direct/include/camphorwind/direct/headers.h
@@ -47,6 +47,9 @@
   std::string Load_ = "X-Load";
   /// `1` in all responses of an endpoint that is about to shut down.
   std::string Leaving_ = "X-Leaving";
+  /// Requests per second that an endpoint in need takes from all routers
+  /// together, such as `2.5`; in all its responses while that holds.
+  std::string RequestLimit_ = "X-Request-Limit";
   /// Further headers that only routers may set; they are removed from callers'
   /// requests.
   std::vector<std::string> Reserved_;
@@ -111,6 +114,10 @@
   /// Time for which the endpoint wants no more requests from this router, at
   /// most MaxHoldOff. Only read from a response with status 503.
   std::optional<std::chrono::milliseconds> HoldOff_;
+  /// Requests per second that the endpoint takes from all routers together, not
+  /// negative; unset if it states no limit or an unreadable one.
+  std::optional<double> RequestLimit_;
+  bool RequestLimitUnreadable_ = false;
   /// Names of the headers above whose value can't be parsed.
   std::vector<std::string> Malformed_;
 };
--- a/libs/direct/src/headers.cpp
+++ b/libs/direct/src/headers.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <strings.h>
 #include <utility>
 
@@ -113,6 +114,13 @@
   return std::chrono::ceil<std::chrono::milliseconds>(Bounded);
 }
 
+std::optional<double> parseRequestLimit(std::string_view Text) {
+  auto PerSecond = parseNumber<double>(Text);
+  if (!PerSecond || !std::isfinite(*PerSecond) || *PerSecond < 0)
+    return std::nullopt;
+  return PerSecond;
+}
+
 } // namespace
 
 RequestMetadata parseRequestHeaders(const net::HttpHeaders &Headers,
@@ -208,6 +216,12 @@
     if (Value != "1" && Value != "0")
       Metadata.Malformed_.push_back(Names.Leaving_);
   }
+  if (auto FieldValue = Headers.find(Names.RequestLimit_)) {
+    Metadata.RequestLimit_ = parseRequestLimit(*FieldValue);
+    Metadata.RequestLimitUnreadable_ = !Metadata.RequestLimit_;
+    if (Metadata.RequestLimitUnreadable_)
+      Metadata.Malformed_.push_back(Names.RequestLimit_);
+  }
   constexpr unsigned ServiceUnavailable = 503;
   constexpr const char *RetryAfter = "Retry-After";
   if (auto FieldValue = Headers.find(RetryAfter);
--- a/libs/direct/test/headers-test.cpp
+++ b/libs/direct/test/headers-test.cpp
@@ -200,4 +200,47 @@
                           std::nullopt, true}),
     [](const auto &Info) { return Info.param.Name_; });
 
+struct RequestLimitCase {
+  std::string Name_;
+  std::string Value_;
+  std::optional<double> PerSecond_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const RequestLimitCase &Value) {
+  return Out << Value.Name_;
+}
+
+class RequestLimitHeaderTest : public testing::TestWithParam<RequestLimitCase> {
+};
+
+TEST_P(RequestLimitHeaderTest, IsParsedOrReportedAsUnreadable) {
+  const RequestLimitCase &Case = GetParam();
+  ResponseMetadata Metadata = parseResponseHeaders(
+      200, {{"X-Request-Limit", Case.Value_}}, HeaderNames());
+  EXPECT_EQ(Metadata.RequestLimit_, Case.PerSecond_);
+  EXPECT_EQ(Metadata.RequestLimitUnreadable_, !Case.PerSecond_);
+  EXPECT_EQ(Metadata.Malformed_.size(), Case.PerSecond_ ? 0u : 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, RequestLimitHeaderTest,
+    testing::Values(RequestLimitCase{"whole", "12", 12.0},
+                    RequestLimitCase{"fraction", " 2.5 ", 2.5},
+                    RequestLimitCase{"below_one", "0.3", 0.3},
+                    RequestLimitCase{"none_at_all", "0", 0.0},
+                    RequestLimitCase{"huge", "1e300", 1e300},
+                    RequestLimitCase{"negative", "-2", std::nullopt},
+                    RequestLimitCase{"nan", "nan", std::nullopt},
+                    RequestLimitCase{"infinite", "inf", std::nullopt},
+                    RequestLimitCase{"too_large", "1e999", std::nullopt},
+                    RequestLimitCase{"unit", "2/s", std::nullopt},
+                    RequestLimitCase{"empty", "", std::nullopt}),
+    [](const auto &Info) { return Info.param.Name_; });
+
+TEST(ResponseMetadataTest, NoRequestLimitIsNotUnreadable) {
+  ResponseMetadata Metadata = parseResponseHeaders(200, {}, HeaderNames());
+  EXPECT_EQ(Metadata.RequestLimit_, std::nullopt);
+  EXPECT_FALSE(Metadata.RequestLimitUnreadable_);
+}
+
 } // namespace
--- a/libs/routing/include/camphorwind/routing/direct-pool.h
+++ b/libs/routing/include/camphorwind/routing/direct-pool.h
@@ -134,6 +134,15 @@
   /// Ends the hold-off of an endpoint, for one that has started again.
   void clearHoldOff(const base::EndpointId &Endpoint);
 
+  /// Records that the endpoint takes at most \p PerSecond requests from all
+  /// routers together. Returns whether that is news.
+  bool limitRequests(const base::EndpointId &Endpoint, double PerSecond,
+                     base::TimePoint Now);
+  /// Records an answer without a limit to a request that was sent at \p SentAt.
+  /// It ends the limit unless that was stated later. Returns whether it did.
+  bool endRequestLimit(const base::EndpointId &Endpoint,
+                       base::TimePoint SentAt);
+
   /// Chooses the endpoint with the lowest cost for \p Request. Silent
   /// endpoints, and ejected ones not due for a probe, are chosen only if no
   /// other is left. Records nothing: call sent() once the request is on its
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -101,6 +101,12 @@
     bool Answered_ = false;
   };
 
+  /// Requests per second that an endpoint takes from all routers together.
+  struct RequestLimit {
+    double PerSecond_ = 0;
+    base::TimePoint StatedAt_{};
+  };
+
   explicit Impl(DirectPoolOptions Options)
       : Options_(std::move(Options)), Ejector_(Options_.Ejector_) {}
 
@@ -327,6 +333,8 @@
   std::unordered_map<base::EndpointId, std::unique_ptr<Endpoint>> Endpoints_;
   /// End of the hold-off of each endpoint that has asked for one.
   std::unordered_map<base::EndpointId, base::TimePoint> HeldOffUntil_;
+  /// Limits stated by endpoints.
+  std::unordered_map<base::EndpointId, RequestLimit> RequestLimits_;
   std::vector<EndpointIndex> FreeIndices_;
   EndpointIndex NextIndex_ = 0;
   std::vector<std::uint64_t> Generations_;
@@ -384,6 +392,23 @@
   Impl_->HeldOffUntil_.erase(Endpoint);
 }
 
+bool DirectPool::limitRequests(const base::EndpointId &Endpoint,
+                               double PerSecond, base::TimePoint Now) {
+  auto [Found, New] = Impl_->RequestLimits_.try_emplace(Endpoint);
+  Impl::RequestLimit &Limit = Found->second;
+  Limit.StatedAt_ = Now;
+  return std::exchange(Limit.PerSecond_, PerSecond) != PerSecond || New;
+}
+
+bool DirectPool::endRequestLimit(const base::EndpointId &Endpoint,
+                                 base::TimePoint SentAt) {
+  auto Found = Impl_->RequestLimits_.find(Endpoint);
+  if (Found == Impl_->RequestLimits_.end() || SentAt < Found->second.StatedAt_)
+    return false;
+  Impl_->RequestLimits_.erase(Found);
+  return true;
+}
+
 void DirectPool::setRouterCount(std::size_t Count) {
   Impl_->Options_.Routers_ = std::max<std::size_t>(1, Count);
 }
