--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -80,6 +80,8 @@
 
   std::vector<net::HttpRequest> Requests_;
   int Disconnects_ = 0;
+  /// Requests per second stated in all responses, if not empty.
+  std::string RequestLimit_;
 
 private:
   net::HttpHeaders responseHeaders(bool Signed = true) const {
@@ -89,6 +91,8 @@
         {"X-Load", "1,0,8"}};
     if (Signed)
       Result.add("X-Signature", "s");
+    if (!RequestLimit_.empty())
+      Result.add("X-Request-Limit", RequestLimit_);
     return Result;
   }
 
@@ -823,6 +827,61 @@
   EXPECT_EQ(ResumeIds, (std::vector<std::string>{"-", "1"}));
 }
 
+/// How an endpoint that states a request limit answers.
+struct RequestLimitCase {
+  std::string_view Name_;
+  double PerSecond_ = 0;
+  RequestKind Kind_ = RequestKind::Idempotent;
+  EndpointBehavior Behavior_ = EndpointBehavior::Respond;
+};
+
+std::ostream &operator<<(std::ostream &Out, const RequestLimitCase &Value) {
+  return Out << Value.Name_;
+}
+
+class RequestLimitTest : public DirectRouterTest,
+                         public testing::WithParamInterface<RequestLimitCase> {
+};
+
+/// Guards against an endpoint that gets more requests than it has said that it
+/// takes, while others could serve them.
+TEST_P(RequestLimitTest, EndpointGetsNoMoreThanItStates) {
+  const RequestLimitCase &Case = GetParam();
+  configure(Case.Kind_);
+  constexpr int Requests = 120;
+  Script_->assign(2 * Requests, Case.Behavior_);
+  FakeEndpoint &Limited = addEndpoint();
+  Limited.RequestLimit_ = std::to_string(Case.PerSecond_);
+  Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+  list("e2", Endpoints_[1]->address(), "far");
+  EXPECT_EQ(fetch(makeCall()).Status_,
+            Case.Behavior_ == EndpointBehavior::NotExecuted ? 503u : 200u);
+  ASSERT_EQ(Limited.Requests_.size(), 1u);
+  Limited.Requests_.clear();
+  int Served = 0;
+  for (int Request = 0; Request < Requests; ++Request) {
+    wait(20ms);
+    Served += fetch(makeCall()).Status_ == 200 ? 1 : 0;
+  }
+  // What the endpoint may get in 4 s; these requests take less.
+  double Allowed = 1.5 * 4 * Case.PerSecond_ + 5;
+  EXPECT_LE(static_cast<double>(Limited.Requests_.size()), Allowed);
+  if (Case.Behavior_ != EndpointBehavior::NotExecuted) {
+    EXPECT_EQ(Served, Requests);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Limits, RequestLimitTest,
+    testing::Values(RequestLimitCase{"answers", 2},
+                    RequestLimitCase{"streams", 2, RequestKind::Stream,
+                                     EndpointBehavior::CompleteStream},
+                    RequestLimitCase{"refusals", 2, RequestKind::NonIdempotent,
+                                     EndpointBehavior::NotExecuted},
+                    RequestLimitCase{"below_one", 0.3},
+                    RequestLimitCase{"nothing", 0}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 TEST_F(DirectRouterTest, BrokenStreamWithoutAnotherEndpointEndsAtOnce) {
   configure(RequestKind::Stream, true);
   addEndpoint({EndpointBehavior::TruncatedStream});
