Count routers on after an outage of the budget table

What callers would see: after 6 s without the table, each router counted itself alone at the first read, or as many as there are failure domains, since all heartbeats were old. For some seconds each of N routers then used what N share: the limit on repeats, connections to endpoints, and soon request limits. A process that starts right after an outage did the same.

A router whose heartbeat is old at the first read, or after 3 s without reads, is counted until it had 6 s to write again. routerIndex() and tableTime() are for the turns of request limits.

RouterCountTest: without the change, 2 of 4 fail (an outage of 15 s; a process started in it).

--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -204,8 +204,13 @@
                                        base::Tokens Bound,
                                        base::TimePoint Now) const;
   /// Number of routers with a recent heartbeat, including this one; at least
-  /// `EscrowSettings::ExpectedRouters_`.
+  /// `EscrowSettings::ExpectedRouters_`. After a time without reads of the
+  /// table, routers keep counting for as long as a heartbeat is awaited.
   std::size_t routerCount() const;
+  /// Number of these routers whose name sorts before this one's.
+  std::size_t routerIndex() const;
+  /// Lower bound of the table's clock, which never decreases.
+  std::chrono::milliseconds tableTime(base::TimePoint Now) const;
   EscrowStatus status(const base::AccountId &Account,
                       base::TimePoint Now) const;
 
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -1039,8 +1039,13 @@
                     base::TimePoint Now) {
     std::map<std::string, std::string> Addresses;
     LoanAddresses_.clear();
-    std::size_t Routers = 0;
-    bool OwnListed = false;
+    std::size_t Routers = 1;
+    std::size_t RoutersBefore = 0;
+    // Old heartbeats may show no more than that the table was away, or that
+    // this process has just started.
+    bool AfterGap = !CountedAt_ || Now - *CountedAt_ > PresenceTimeout / 2;
+    CountedAt_ = Now;
+    std::map<std::string, base::TimePoint> Awaited;
     // While slices are being written again, the routers that ran at the restore
     // count, also those that have not been heard since.
     if (!Restating_ && RowsInEra_)
@@ -1050,8 +1055,16 @@
       base::Duration Age = Seen ? tableTime(Now) - Seen->At_ : MaxCopyAge;
       bool Alive = Seen && Age < PresenceTimeout;
       bool Own = Each.Key_ == detail::routerKey(Settings_.Router_);
-      Routers += Alive ? 1 : 0;
-      OwnListed = OwnListed || Own;
+      auto Until = AwaitedUntil_.find(Each.Key_);
+      bool IsAwaited = Until != AwaitedUntil_.end() && Now < Until->second;
+      if (!Alive && Age < MaxCopyAge && (AfterGap || IsAwaited))
+        Awaited.emplace(Each.Key_,
+                        AfterGap ? Now + PresenceTimeout : Until->second);
+      if (!Own && (Alive || Awaited.contains(Each.Key_))) {
+        ++Routers;
+        if (Each.Key_ < detail::routerKey(Settings_.Router_))
+          ++RoutersBefore;
+      }
       if (Age < MaxCopyAge)
         LiveRouters_.insert(Each.Key_.substr(RouterPrefix.size()));
       if (Alive && !Own && !Seen->LoanAddress_.empty())
@@ -1060,8 +1073,9 @@
       if (Alive && !Own && !Seen->Address_.empty())
         Addresses.emplace(Each.Key_, std::move(Seen->Address_));
     }
-    Routers_ =
-        std::max(Settings_.ExpectedRouters_, Routers + (OwnListed ? 0 : 1));
+    AwaitedUntil_ = std::move(Awaited);
+    Routers_ = std::max(Settings_.ExpectedRouters_, Routers);
+    RoutersBefore_ = RoutersBefore;
     setPeers(Addresses);
   }
 
@@ -1089,6 +1103,13 @@
   EscrowSettings Settings_;
   std::map<base::AccountId, AccountState> Accounts_;
   std::size_t Routers_ = Settings_.ExpectedRouters_;
+  /// Number of counted routers whose name sorts before this one's.
+  std::size_t RoutersBefore_ = 0;
+  /// When the routers were last counted.
+  std::optional<base::TimePoint> CountedAt_;
+  /// Routers, by row key, that are counted until this time although their
+  /// heartbeat is old.
+  std::map<std::string, base::TimePoint> AwaitedUntil_;
   std::vector<std::string> Peers_;
   /// Addresses of other routers with a recent heartbeat that lend tokens, by
   /// router.
@@ -1379,6 +1400,12 @@
 
 std::size_t Escrow::routerCount() const { return Impl_->Routers_; }
 
+std::size_t Escrow::routerIndex() const { return Impl_->RoutersBefore_; }
+
+std::chrono::milliseconds Escrow::tableTime(base::TimePoint Now) const {
+  return Impl_->tableTime(Now);
+}
+
 EscrowStatus Escrow::status(const base::AccountId &Account,
                             base::TimePoint Now) const {
   auto Found = Impl_->Accounts_.find(Account);
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -50,7 +50,11 @@
 /// Hosts and a table under simulated time.
 class World {
 public:
-  explicit World(std::int64_t Prepaid, std::size_t Hosts) : Prepaid_(Prepaid) {
+  /// A router assumes \p Expected routers until it has read heartbeats, or as
+  /// many as there were hosts when it started.
+  explicit World(std::int64_t Prepaid, std::size_t Hosts,
+                 std::optional<std::size_t> Expected = std::nullopt)
+      : Prepaid_(Prepaid), ExpectedRouters_(Expected) {
     for (std::size_t Index = 0; Index < Hosts; ++Index) {
       Hosts_.emplace_back();
       Hosts_.back().Name_ = "h" + std::to_string(Index);
@@ -67,7 +71,7 @@
     Settings.Incarnation_ = base::Incarnation(
         Target.Name_ + "." + std::to_string(++Target.Process_));
     Settings.StartedAt_ = Target.Clock_;
-    Settings.ExpectedRouters_ = Hosts_.size();
+    Settings.ExpectedRouters_ = ExpectedRouters_.value_or(Hosts_.size());
     Settings.PeerAddress_ = "address of " + Target.Name_;
     Target.Escrow_ = std::move(Escrow::create(Settings)).value();
     Target.Escrow_->setBudget(Shop, Tokens(Prepaid_));
@@ -221,6 +225,7 @@
   std::int64_t Prepaid_;
 
 private:
+  std::optional<std::size_t> ExpectedRouters_;
   FakeTable Table_;
   std::vector<Host> Hosts_;
   std::deque<base::Transaction> Delayed_;
@@ -794,6 +799,53 @@
               testing::Not(testing::Contains(std::string("address of h1"))));
 }
 
+/// Places of the routers that share one table.
+class RouterCountTest : public testing::Test {
+protected:
+  static constexpr std::size_t Hosts = 8;
+
+  /// Checks the places as of one read of each router but the last \p Without.
+  void expectPlaces(std::size_t Routers, std::size_t Without = 0) {
+    for (std::size_t Index = 0; Index < Hosts - Without; ++Index) {
+      Host &Each = World_.host(Index);
+      World_.read(Each);
+      EXPECT_EQ(Each.Escrow_->routerCount(), Routers) << Each.Name_;
+      EXPECT_EQ(Each.Escrow_->routerIndex(), Index) << Each.Name_;
+    }
+  }
+
+  World World_{1'000'000, Hosts, 1};
+};
+
+TEST_F(RouterCountTest, EachRouterHasItsOwnPlace) {
+  World_.runWithoutFaults(4s);
+  expectPlaces(Hosts);
+}
+
+/// Guards against routers that take each other for gone when the table was
+/// away: each would use all of what they share.
+TEST_F(RouterCountTest, RoutersStillCountAfterAnOutageOfTheTable) {
+  World_.runWithoutFaults(4s);
+  World_.advance(15s);
+  expectPlaces(Hosts);
+  World_.runWithoutFaults(4s);
+  expectPlaces(Hosts);
+}
+
+TEST_F(RouterCountTest, ARouterThatStartsDuringAnOutageCountsTheOthers) {
+  World_.runWithoutFaults(4s);
+  World_.advance(15s);
+  World_.kill(World_.host(2));
+  expectPlaces(Hosts);
+}
+
+TEST_F(RouterCountTest, ARouterThatIsGoneCountsNoLonger) {
+  World_.runWithoutFaults(4s);
+  World_.advance(15s);
+  World_.runWithoutFaultsExcept(World_.host(Hosts - 1), 8s);
+  expectPlaces(Hosts - 1, 1);
+}
+
 TEST_F(EscrowTest, CloseReturnsEverything) {
   World_.runWithoutFaults(1s);
   Host &Leaving = World_.host(0);
