Count routers on after an outage of any length

Rows older than 30 s were left out even if the table had been away for longer. RouterCountTest.RoutersStillCountAfterALongOutageOfTheTable (90 s) failed before.

--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -1044,6 +1044,8 @@
     // Old heartbeats may show no more than that the table was away, or that
     // this process has just started.
     bool AfterGap = !CountedAt_ || Now - *CountedAt_ > PresenceTimeout / 2;
+    base::Duration MaxAge =
+        CountedAt_ ? Now - *CountedAt_ + PresenceTimeout : MaxCopyAge;
     CountedAt_ = Now;
     std::map<std::string, base::TimePoint> Awaited;
     // While slices are being written again, the routers that ran at the restore
@@ -1057,9 +1059,10 @@
       bool Own = Each.Key_ == detail::routerKey(Settings_.Router_);
       auto Until = AwaitedUntil_.find(Each.Key_);
       bool IsAwaited = Until != AwaitedUntil_.end() && Now < Until->second;
-      if (!Alive && Age < MaxCopyAge && (AfterGap || IsAwaited))
-        Awaited.emplace(Each.Key_,
-                        AfterGap ? Now + PresenceTimeout : Until->second);
+      if (!Alive && AfterGap && Seen && Age < MaxAge)
+        Awaited.emplace(Each.Key_, Now + PresenceTimeout);
+      else if (!Alive && IsAwaited)
+        Awaited.emplace(Each.Key_, Until->second);
       if (!Own && (Alive || Awaited.contains(Each.Key_))) {
         ++Routers;
         if (Each.Key_ < detail::routerKey(Settings_.Router_))
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -824,6 +824,14 @@
 
 /// Guards against routers that take each other for gone when the table was
 /// away: each would use all of what they share.
+TEST_F(RouterCountTest, RoutersStillCountAfterALongOutageOfTheTable) {
+  World_.runWithoutFaults(4s);
+  World_.advance(90s);
+  expectPlaces(Hosts);
+  World_.runWithoutFaults(4s);
+  expectPlaces(Hosts);
+}
+
 TEST_F(RouterCountTest, RoutersStillCountAfterAnOutageOfTheTable) {
   World_.runWithoutFaults(4s);
   World_.advance(15s);
