Share the request limits of endpoints between all routers

What callers saw: an engine in need, which had named a limit of 2 or 2.5 requests a second, went on getting 6 to 11 and slowed down for all.

Cause: routers did not read the limit. Each that would read it and keep it for itself would exceed it as many times as there are routers.

Now time is divided into turns, as many a second as the endpoint takes requests, and each of N routers has every N-th. Place and clock come from the heartbeats in the budget table, and stay as they were while the table is away. An unused turn can be taken for 1 s. Why turns and not a bucket of tokens each: a bucket saves up one token at least, and 300 routers can spend 300 together. Endpoints whose turn it is not are left out of the choice; if no other is left, the caller is told at once when the next turn is. A limit of 0 counts as 0.1, or no answer would end it. A new start of an endpoint has no limit.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -43,11 +43,18 @@
     return Found->second;
   routing::DirectPoolOptions Options;
   Options.Domain_ = Settings_.Domain_;
-  Options.Routers_ = Escrow_.routerCount();
   PoolState State{
       routing::DirectPool(std::move(Options)),
       routing::RetryWindow(Settings_.Retries_, Escrow_.routerCount())};
-  return Pools_.emplace(Id, std::move(State)).first->second;
+  PoolState &Created = Pools_.emplace(Id, std::move(State)).first->second;
+  setPlace(Created);
+  return Created;
+}
+
+void ForwardingContext::setPlace(PoolState &Pool) {
+  base::TimePoint Now = Loop_.now();
+  Pool.Selector_.setPlace({Escrow_.routerCount(), Escrow_.routerIndex()},
+                          Escrow_.tableTime(Now) - Now.time_since_epoch(), Now);
 }
 
 void ForwardingContext::endpointLeaving(const base::EndpointId &Id) {
@@ -93,7 +100,7 @@
     if (Each.DepartureReason_) {
       Selector.remove(Entry.Endpoint_);
       if (*Each.DepartureReason_ == DepartureReason::Restarted)
-        Selector.clearHoldOff(Entry.Endpoint_);
+        Selector.restarted(Entry.Endpoint_);
       Origins_.dropIdle(Entry.Address_);
       observe::log(LogLevel::Info, "endpoint_left",
                    {{"endpoint", Entry.Endpoint_.str()},
@@ -218,12 +225,12 @@
   void escrowChanged() {
     if (Context_.Escrow_.routerCount() != Routers_) {
       Routers_ = Context_.Escrow_.routerCount();
-      for (auto &[Id, Pool] : Context_.Pools_) {
-        Pool.Selector_.setRouterCount(Routers_);
+      for (auto &[Id, Pool] : Context_.Pools_)
         Pool.Retries_.setRouterCount(Routers_);
-      }
       observe::log(LogLevel::Info, "routers_counted", {{"routers", Routers_}});
     }
+    for (auto &[Id, Pool] : Context_.Pools_)
+      Context_.setPlace(Pool);
     for (const auto &Each : Context_.openRequests())
       Each->retryReservation();
     logReadinessChange();
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -464,11 +464,10 @@
 
 void ForwardedRequest::applyRequestLimit(const ResponseMetadata &Response,
                                          base::TimePoint Now) {
-  auto &Selector = Context_.poolState(Pool_).Selector_;
+  auto &Limits = Context_.poolState(Pool_).Selector_.requestLimits();
   const std::string &Endpoint = Placement_.Endpoint_.str();
   if (Response.RequestLimit_) {
-    if (Selector.limitRequests(Placement_.Endpoint_, *Response.RequestLimit_,
-                               Now))
+    if (Limits.state(Placement_.Endpoint_, *Response.RequestLimit_, Now))
       observe::log(LogLevel::Info, "endpoint_limited",
                    {{"endpoint", Endpoint},
                     {"per_second", *Response.RequestLimit_},
@@ -478,7 +477,7 @@
   // An answer without the id may be a late copy of one from before the limit.
   if (Response.RequestLimitUnreadable_ || Response.AttemptId_.empty())
     return;
-  if (Selector.endRequestLimit(Placement_.Endpoint_, Attempt_.SentAt_))
+  if (Limits.end(Placement_.Endpoint_, Attempt_.SentAt_))
     observe::log(
         LogLevel::Info, "endpoint_limit_ended",
         {{"endpoint", Endpoint}, {"request", RequestMetadata_.AttemptId_}});
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -52,6 +52,8 @@
 
   /// Returns the state of the pool; creates it on first use.
   PoolState &poolState(const base::PoolId &Id);
+  /// Tells the pool this router's place in the fleet and the table's clock.
+  void setPlace(PoolState &Pool);
   /// Sends no more requests to an endpoint that states that it is about to shut
   /// down. Requests that it has already received go on.
   void endpointLeaving(const base::EndpointId &Id);
--- a/libs/routing/include/camphorwind/routing/direct-pool.h
+++ b/libs/routing/include/camphorwind/routing/direct-pool.h
@@ -6,6 +6,7 @@
 #include "camphorwind/base/time.h"
 #include "camphorwind/routing/ejector.h"
 #include "camphorwind/routing/prompt-cache.h"
+#include "camphorwind/routing/request-limits.h"
 #include "camphorwind/routing/types.h"
 
 #include <chrono>
@@ -98,7 +99,8 @@
 enum class PlacementError {
   NoEndpoint, ///< The pool is empty, or all its endpoints are excluded.
   TooLate,    ///< No answer is expected to begin before the deadline.
-  HeldOff,    ///< All endpoints left want no requests for a while.
+  HeldOff,    ///< All endpoints left want no requests for a while, also because
+              ///< of their request limits.
 };
 
 /// A request without an endpoint, and the delay before a retry may succeed.
@@ -125,23 +127,20 @@
   /// estimate of its cached prompts then keeps its former capacity.
   void addOrUpdate(const DirectEndpoint &Settings, base::TimePoint Now);
   void remove(const base::EndpointId &Endpoint);
-  /// Sets the number of routers that send to the pool, including this router.
-  void setRouterCount(std::size_t Count);
+  /// Sets this router's place among those that send to the pool, and what to
+  /// add to its clock for the clock that all of them share.
+  void setPlace(FleetPlace Place, FleetTime ClockOffset, base::TimePoint Now);
 
   /// Sends the endpoint nothing before \p Until, because it asked for that.
   /// Applies also if the endpoint is removed and added again meanwhile.
   void holdOff(const base::EndpointId &Endpoint, base::TimePoint Until);
-  /// Ends the hold-off of an endpoint, for one that has started again.
-  void clearHoldOff(const base::EndpointId &Endpoint);
-
-  /// Records that the endpoint takes at most \p PerSecond requests from all
-  /// routers together. Returns whether that is news.
-  bool limitRequests(const base::EndpointId &Endpoint, double PerSecond,
-                     base::TimePoint Now);
-  /// Records an answer without a limit to a request that was sent at \p SentAt.
-  /// It ends the limit unless that was stated later. Returns whether it did.
-  bool endRequestLimit(const base::EndpointId &Endpoint,
-                       base::TimePoint SentAt);
+  /// Ends the hold-off and the request limit of an endpoint, for one that has
+  /// started again.
+  void restarted(const base::EndpointId &Endpoint);
+
+  /// Requests that endpoints take from all routers together. Endpoints are not
+  /// chosen before this router's turn.
+  RequestLimits &requestLimits();
 
   /// Chooses the endpoint with the lowest cost for \p Request. Silent
   /// endpoints, and ejected ones not due for a probe, are chosen only if no
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -101,12 +101,6 @@
     bool Answered_ = false;
   };
 
-  /// Requests per second that an endpoint takes from all routers together.
-  struct RequestLimit {
-    double PerSecond_ = 0;
-    base::TimePoint StatedAt_{};
-  };
-
   explicit Impl(DirectPoolOptions Options)
       : Options_(std::move(Options)), Ejector_(Options_.Ejector_) {}
 
@@ -209,13 +203,17 @@
     return Best;
   }
 
-  /// Returns the end of the endpoint's hold-off, if it has not passed.
+  /// Returns when the endpoint takes requests of this router again, if it does
+  /// not now.
   std::optional<base::TimePoint> heldOffUntil(const base::EndpointId &Id,
                                               base::TimePoint Now) const {
+    base::TimePoint Until = Now + Limits_.wait(Id, Now);
     auto Found = HeldOffUntil_.find(Id);
-    if (Found == HeldOffUntil_.end() || Now >= Found->second)
+    if (Found != HeldOffUntil_.end())
+      Until = std::max(Until, Found->second);
+    if (Until <= Now)
       return std::nullopt;
-    return Found->second;
+    return Until;
   }
 
   bool isExcluded(const PlacementRequest &Request,
@@ -333,8 +331,7 @@
   std::unordered_map<base::EndpointId, std::unique_ptr<Endpoint>> Endpoints_;
   /// End of the hold-off of each endpoint that has asked for one.
   std::unordered_map<base::EndpointId, base::TimePoint> HeldOffUntil_;
-  /// Limits stated by endpoints.
-  std::unordered_map<base::EndpointId, RequestLimit> RequestLimits_;
+  RequestLimits Limits_;
   std::vector<EndpointIndex> FreeIndices_;
   EndpointIndex NextIndex_ = 0;
   std::vector<std::uint64_t> Generations_;
@@ -388,29 +385,17 @@
   Current = std::max(Current, Until);
 }
 
-void DirectPool::clearHoldOff(const base::EndpointId &Endpoint) {
+void DirectPool::restarted(const base::EndpointId &Endpoint) {
   Impl_->HeldOffUntil_.erase(Endpoint);
+  Impl_->Limits_.forget(Endpoint);
 }
 
-bool DirectPool::limitRequests(const base::EndpointId &Endpoint,
-                               double PerSecond, base::TimePoint Now) {
-  auto [Found, New] = Impl_->RequestLimits_.try_emplace(Endpoint);
-  Impl::RequestLimit &Limit = Found->second;
-  Limit.StatedAt_ = Now;
-  return std::exchange(Limit.PerSecond_, PerSecond) != PerSecond || New;
-}
-
-bool DirectPool::endRequestLimit(const base::EndpointId &Endpoint,
-                                 base::TimePoint SentAt) {
-  auto Found = Impl_->RequestLimits_.find(Endpoint);
-  if (Found == Impl_->RequestLimits_.end() || SentAt < Found->second.StatedAt_)
-    return false;
-  Impl_->RequestLimits_.erase(Found);
-  return true;
-}
+RequestLimits &DirectPool::requestLimits() { return Impl_->Limits_; }
 
-void DirectPool::setRouterCount(std::size_t Count) {
-  Impl_->Options_.Routers_ = std::max<std::size_t>(1, Count);
+void DirectPool::setPlace(FleetPlace Place, FleetTime ClockOffset,
+                          base::TimePoint Now) {
+  Impl_->Options_.Routers_ = Place.Routers_;
+  Impl_->Limits_.setPlace(Place, ClockOffset, Now);
 }
 
 base::Result<Placement, PlacementFailure>
@@ -475,6 +460,7 @@
   if (Target->InFlight_ == 0)
     Target->LastProgress_ = Now;
   ++Target->InFlight_;
+  Impl_->Limits_.sent(Placed.Endpoint_, Now);
   Impl_->changeBacklog(*Target, Uncached, Now);
   Target->Unanswered_.insert({Now, Id});
   if (!Request.Prompt_.empty())
--- a/libs/routing/test/direct-pool-test.cpp
+++ b/libs/routing/test/direct-pool-test.cpp
@@ -327,7 +327,7 @@
   if (Case.Readded_) {
     Pool_.remove(engine(0));
     if (Case.Restarted_)
-      Pool_.clearHoldOff(engine(0));
+      Pool_.restarted(engine(0));
     Pool_.addOrUpdate({engine(0), OwnDomain, 6, 0}, Now_);
   }
   Now_ += Case.ChosenAfter_;
@@ -349,6 +349,60 @@
                     HoldOffCase{"started_again", 1s, true, true, true}),
     [](const auto &Info) { return Info.param.Name_; });
 
+/// What becomes of a stated limit of 0.1 requests per second.
+struct StatedLimitCase {
+  std::string Name_;
+  bool Readded_ = false;
+  bool Restarted_ = false;
+  bool Usable_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out, const StatedLimitCase &Value) {
+  return Out << Value.Name_;
+}
+
+class StatedLimitTest : public DirectPoolTest,
+                        public testing::WithParamInterface<StatedLimitCase> {};
+
+TEST_P(StatedLimitTest, EndpointGetsNothingBeforeTheNextTurn) {
+  const StatedLimitCase &Case = GetParam();
+  addPlainHosts(1);
+  Pool_.requestLimits().state(engine(0), 0.1, Now_);
+  if (Case.Readded_)
+    Pool_.remove(engine(0));
+  if (Case.Restarted_)
+    Pool_.restarted(engine(0));
+  Pool_.addOrUpdate({engine(0), OwnDomain, 6, 0}, Now_);
+  base::Duration Wait = Pool_.requestLimits().wait(engine(0), Now_);
+  auto Chosen = Pool_.choose(plainCall(), Now_);
+  EXPECT_EQ(static_cast<bool>(Chosen), Case.Usable_);
+  if (!Chosen) {
+    EXPECT_EQ(Chosen.error().Error_, PlacementError::HeldOff);
+    EXPECT_EQ(Chosen.error().RetryAfter_, Wait);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Events, StatedLimitTest,
+                         testing::Values(StatedLimitCase{"listed"},
+                                         StatedLimitCase{"added_again", true},
+                                         StatedLimitCase{"started_again", true,
+                                                         true, true}),
+                         [](const auto &Info) { return Info.param.Name_; });
+
+TEST_F(DirectPoolTest, EndpointWithALimitIsUsedOnItsTurnsOnly) {
+  addPlainHosts(2);
+  Pool_.requestLimits().state(engine(0), 2, Now_);
+  int ToLimited = 0;
+  constexpr int Calls = 400;
+  for (int Call = 0; Call < Calls; ++Call) {
+    SentRequest Sent = start(plainCall());
+    ToLimited += Sent.Placement_.Endpoint_ == engine(0) ? 1 : 0;
+    Now_ += 10ms;
+    Pool_.finished(Sent.Attempt_, Now_);
+  }
+  EXPECT_LE(ToLimited, 9);
+}
+
 TEST_F(DirectPoolTest, OneEndpointThatShedsLoadLeavesItsRequestsToTheOthers) {
   addPlainHosts(3);
   Pool_.holdOff(engine(1), Now_ + 2s);
