Log the fingerprint of attempts that broke, and crashes of plain services

Attempts of callers with the same request could not be recognised, and crashes of endpoints of plain services were not logged. Nothing is decided by either yet.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -2,6 +2,7 @@
 
 #include "../common/refusals.h"
 
+#include "camphorwind/direct/fingerprint.h"
 #include "camphorwind/observe/log.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -119,6 +120,10 @@
     refuse(*Reason);
     return;
   }
+  Fingerprint_ =
+      fingerprint({Request_.Method_, RequestMetadata_.Host_, Request_.Target_,
+                   Account_ ? std::string_view(Account_->Account_.str()) : "",
+                   Body_ ? std::string_view(*Body_) : ""});
   Context_.poolState(Pool_).Retries_.addRequest(ArrivedAt_);
   if (!refuseQuarantined() && reserveTokens())
     placeAttempt();
@@ -563,6 +568,7 @@
        {"may_have_reached", Error.MayHaveReached_},
        {"detail", Error.Detail_},
        {"parts", partIds(RequestMetadata_.PromptParts_)},
+       {"fingerprint", fmt::format("{:x}", Fingerprint_)},
        {"after_ms", toMilliseconds(Context_.Loop_.now() - Attempt_.SentAt_)}});
   if (!Error.MayHaveReached_) {
     bool EndpointAtFault =
@@ -584,7 +590,7 @@
 }
 
 void ForwardedRequest::onConnectionLost() {
-  if (prompt().empty() || Attempt_.NotExecuted_)
+  if (Attempt_.NotExecuted_)
     return;
   Context_.Crashes_.attemptBroken(
       Attempt_.Target_,
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <span>
@@ -163,6 +164,8 @@
   const Pool *PoolConfig_ = nullptr;
   base::PoolId Pool_;
   RequestMetadata RequestMetadata_;
+  /// Equal for all attempts of callers with the same request.
+  std::uint64_t Fingerprint_ = 0;
   base::TimePoint ArrivedAt_{};
   /// The earlier of CallerDeadline_ and the route's timeout.
   base::TimePoint Deadline_{};
