Failing test: a request that crashes engines reaches engine after engine

One router before endpoints that crash when they begin to run one request: 12 requests of callers end 12 endpoints, and 24 where the route allows repeats; 6 are allowed.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -827,6 +827,83 @@
   EXPECT_EQ(ResumeIds, (std::vector<std::string>{"-", "1"}));
 }
 
+/// How a request that crashes endpoints comes again.
+struct DeadlyRequestCase {
+  std::string_view Name_;
+  RequestKind Kind_ = RequestKind::Idempotent;
+  /// Whether the stream may be resumed.
+  bool Resumable_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out, const DeadlyRequestCase &Value) {
+  return Out << Value.Name_;
+}
+
+/// Endpoints that crash when they begin to run one request.
+class DeadlyRequestTest
+    : public DirectRouterTest,
+      public testing::WithParamInterface<DeadlyRequestCase> {
+protected:
+  static constexpr std::string_view DeadlyBody = "one request too many";
+
+  void addEndpoint() {
+    Crashing_.push_back(std::make_unique<net::test::ScriptedPeer>(
+        *Loop_, [this](const std::string &Request) -> net::test::Reply {
+          if (Request.find(DeadlyBody) == std::string::npos)
+            return endedByLength(AllEvents);
+          ++Arrivals_;
+          return {"", net::test::Then::Crash};
+        }));
+    list(std::string("i").append(std::to_string(Crashing_.size())),
+         Crashing_.back()->address());
+  }
+
+  /// Sends a request whose prompt, if its route has one, shares all parts but
+  /// the last with all others.
+  unsigned ask(std::string Body) {
+    net::OriginRequest Request = makeCall();
+    Request.Body_ = std::make_shared<const std::string>(std::move(Body));
+    Request.Headers_.add("X-Prompt-Parts",
+                         "5a:800,5b:90,f" + std::to_string(++Asked_) + ":10");
+    return fetch(std::move(Request)).Status_;
+  }
+
+  std::vector<std::unique_ptr<net::test::ScriptedPeer>> Crashing_;
+  /// Arrivals of the deadly request at endpoints.
+  int Arrivals_ = 0;
+  int Asked_ = 0;
+};
+
+/// Guards against a request that crashes endpoint after endpoint because each
+/// attempt with it counts as another request.
+TEST_P(DeadlyRequestTest, StopsReachingEndpoints) {
+  const DeadlyRequestCase &Case = GetParam();
+  configure(Case.Kind_, Case.Resumable_);
+  constexpr int Endpoints = 30;
+  for (int Endpoint = 0; Endpoint < Endpoints; ++Endpoint)
+    addEndpoint();
+  constexpr int Repeats = 12;
+  for (int Repeat = 0; Repeat < Repeats; ++Repeat) {
+    EXPECT_EQ(ask("sound request " + std::to_string(Repeat)), 200u);
+    ask(std::string(DeadlyBody));
+    wait(200ms);
+  }
+  // Three crashes, and three repeats that may be on their way by then.
+  constexpr int MaxArrivals = 6;
+  EXPECT_LE(Arrivals_, MaxArrivals);
+  EXPECT_EQ(ask(std::string(DeadlyBody)), 503u);
+  EXPECT_EQ(ask("another sound request"), 200u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, DeadlyRequestTest,
+    testing::Values(
+        DeadlyRequestCase{"idempotent"},
+        DeadlyRequestCase{"non_idempotent", RequestKind::NonIdempotent},
+        DeadlyRequestCase{"stream", RequestKind::Stream},
+        DeadlyRequestCase{"resumable_stream", RequestKind::Stream, true}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 /// How an endpoint that states a request limit answers.
 struct RequestLimitCase {
   std::string_view Name_;
