--- a/daemons/common/refusals.cpp
+++ b/daemons/common/refusals.cpp
@@ -62,7 +62,7 @@
     return {503, "Too many requests are being retried."};
   case RefusalReason::DeadlineUnreachable:
     return {503, "No answer can be expected before the deadline."};
-  case RefusalReason::PromptQuarantined:
+  case RefusalReason::Quarantined:
     return {503, "A part of the prompt has crashed several engines."};
   case RefusalReason::NoSliceTableUnreachable:
     return {503, "The budget can't be drawn on at the moment."};
--- a/daemons/direct/prompt-reports.cpp
+++ b/daemons/direct/crash-reports.cpp
@@ -1,4 +1,4 @@
-#include "prompt-reports.h"
+#include "crash-reports.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -87,10 +87,10 @@
               std::chrono::system_clock::now().time_since_epoch())};
 }
 
-std::vector<PromptReportRow> encodeReports(const PromptReports &Reports,
-                                           const base::RouterId &Router,
-                                           const ClockReading &Clock) {
-  std::vector<PromptReportRow> Rows;
+std::vector<CrashReportRow> encodeReports(const CrashReports &Reports,
+                                          const base::RouterId &Router,
+                                          const ClockReading &Clock) {
+  std::vector<CrashReportRow> Rows;
   for (const routing::CrashReport &Each : Reports.Crashes_) {
     Json Parts = Json::array();
     for (routing::PromptPartId Part : Each.Parts_)
@@ -112,7 +112,7 @@
 }
 
 bool decodeReport(std::string_view Value, const ClockReading &Clock,
-                  PromptReports &Reports) {
+                  CrashReports &Reports) {
   const Json Object = Json::parse(Value, nullptr, false);
   if (!Object.is_object() || !Object.contains("at_ms") ||
       !Object["at_ms"].is_number_integer())
--- a/daemons/direct/prompt-reports.h
+++ b/daemons/direct/crash-reports.h
@@ -1,9 +1,9 @@
-#ifndef CAMPHORWIND_DAEMONS_DIRECT_PROMPT_REPORTS_H
-#define CAMPHORWIND_DAEMONS_DIRECT_PROMPT_REPORTS_H
+#ifndef CAMPHORWIND_DAEMONS_DIRECT_CRASH_REPORTS_H
+#define CAMPHORWIND_DAEMONS_DIRECT_CRASH_REPORTS_H
 
 #include "camphorwind/base/ids.h"
 #include "camphorwind/base/time.h"
-#include "camphorwind/routing/prompt-quarantine.h"
+#include "camphorwind/routing/quarantine.h"
 
 #include <chrono>
 #include <string>
@@ -13,7 +13,7 @@
 namespace camphorwind::direct {
 
 /// What one router tells the others about prompt parts that crash engines.
-struct PromptReports {
+struct CrashReports {
   std::vector<routing::CrashReport> Crashes_;
   std::vector<routing::SoundReport> Sound_;
 
@@ -30,7 +30,7 @@
 };
 
 /// One report as a row of a table that all routers read.
-struct PromptReportRow {
+struct CrashReportRow {
   std::string Key_;
   std::string Value_;
 };
@@ -42,14 +42,14 @@
 ///                         {"sound": HEX, "crashes": [START...], "at_ms": TIME}
 ///
 /// A report that is written twice has one row.
-std::vector<PromptReportRow> encodeReports(const PromptReports &Reports,
-                                           const base::RouterId &Router,
-                                           const ClockReading &Clock);
+std::vector<CrashReportRow> encodeReports(const CrashReports &Reports,
+                                          const base::RouterId &Router,
+                                          const ClockReading &Clock);
 /// Appends the report of a row to \p Reports. Returns false, and appends
 /// nothing, if the row can't be parsed. A time in the future counts as now.
 bool decodeReport(std::string_view Value, const ClockReading &Clock,
-                  PromptReports &Reports);
+                  CrashReports &Reports);
 
 } // namespace camphorwind::direct
 
-#endif // CAMPHORWIND_DAEMONS_DIRECT_PROMPT_REPORTS_H
+#endif // CAMPHORWIND_DAEMONS_DIRECT_CRASH_REPORTS_H
--- a/daemons/direct/crash-watch.h
+++ b/daemons/direct/crash-watch.h
@@ -4,7 +4,7 @@
 #include "camphorwind/direct/endpoint-list.h"
 #include "camphorwind/net/loop.h"
 #include "camphorwind/net/socket.h"
-#include "camphorwind/routing/prompt-quarantine.h"
+#include "camphorwind/routing/quarantine.h"
 
 #include <functional>
 #include <map>
--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -344,13 +344,13 @@
   Inner_->Context_.OnTokensNeeded_ = std::move(Callback);
 }
 void DirectRouter::escrowChanged() { Inner_->escrowChanged(); }
-void DirectRouter::onPromptReports(std::function<void()> Callback) {
+void DirectRouter::onCrashReports(std::function<void()> Callback) {
   Inner_->Context_.OnReports_ = std::move(Callback);
 }
-PromptReports DirectRouter::takePromptReports() {
+CrashReports DirectRouter::takeCrashReports() {
   return std::exchange(Inner_->Context_.Reports_, {});
 }
-void DirectRouter::addPromptReports(const PromptReports &Reports) {
+void DirectRouter::addCrashReports(const CrashReports &Reports) {
   ForwardingContext &Context = Inner_->Context_;
   base::TimePoint Now = Context.Loop_.now();
   for (const routing::CrashReport &Each : Reports.Crashes_)
--- a/daemons/direct/direct-router.h
+++ b/daemons/direct/direct-router.h
@@ -1,7 +1,7 @@
 #ifndef CAMPHORWIND_DAEMONS_DIRECT_DIRECT_ROUTER_H
 #define CAMPHORWIND_DAEMONS_DIRECT_DIRECT_ROUTER_H
 
-#include "prompt-reports.h"
+#include "crash-reports.h"
 #include "settings.h"
 
 #include "camphorwind/base/result.h"
@@ -49,9 +49,9 @@
   /// Exchanges what routers know of prompt parts that crash engines. The
   /// callback says that there are reports to take and to pass on to the other
   /// routers. Reports that come back have no effect.
-  void onPromptReports(std::function<void()> Callback);
-  PromptReports takePromptReports();
-  void addPromptReports(const PromptReports &Reports);
+  void onCrashReports(std::function<void()> Callback);
+  CrashReports takeCrashReports();
+  void addCrashReports(const CrashReports &Reports);
 
   observe::Metrics &metrics();
   /// Whether the configuration, the endpoint list and the budget table are
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -302,7 +302,7 @@
       Context_.Quarantine_.quarantineTime(prompt(), Context_.Loop_.now());
   if (!Left)
     return false;
-  refuse(RefusalReason::PromptQuarantined, Left);
+  refuse(RefusalReason::Quarantined, Left);
   return true;
 }
 
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -1,8 +1,8 @@
 #ifndef CAMPHORWIND_DAEMONS_DIRECT_FORWARDING_H
 #define CAMPHORWIND_DAEMONS_DIRECT_FORWARDING_H
 
+#include "crash-reports.h"
 #include "crash-watch.h"
-#include "prompt-reports.h"
 #include "settings.h"
 
 #include "camphorwind/base/random.h"
@@ -13,7 +13,7 @@
 #include "camphorwind/net/origin-client.h"
 #include "camphorwind/observe/metrics.h"
 #include "camphorwind/routing/direct-pool.h"
-#include "camphorwind/routing/prompt-quarantine.h"
+#include "camphorwind/routing/quarantine.h"
 #include "camphorwind/routing/retry-window.h"
 
 #include <cstdint>
@@ -89,10 +89,10 @@
   budget::Escrow Escrow_;
   /// Null if this router takes part in no loans.
   std::unique_ptr<TokenLoans> Loans_;
-  routing::PromptQuarantine Quarantine_;
+  routing::Quarantine Quarantine_;
   CrashWatch Crashes_;
   /// Reports for other routers that nobody has taken yet.
-  PromptReports Reports_;
+  CrashReports Reports_;
   /// Called when Reports_ gets reports; may be empty.
   std::function<void()> OnReports_;
   observe::Metrics Metrics_;
--- a/daemons/direct/test/prompt-reports-test.cpp
+++ b/daemons/direct/test/crash-reports-test.cpp
@@ -1,4 +1,4 @@
-#include "prompt-reports.h"
+#include "crash-reports.h"
 
 #include <gtest/gtest.h>
 
@@ -18,18 +18,18 @@
   return {base::TimePoint(Steady), Day};
 }
 
-TEST(PromptReportsTest, AnotherRouterReadsWhatOneHasWritten) {
-  PromptReports Sent;
+TEST(CrashReportsTest, AnotherRouterReadsWhatOneHasWritten) {
+  CrashReports Sent;
   Sent.Crashes_ = {{"i-1/5", {0xab, 0xffffffffffffffff}, base::TimePoint(8s)}};
   Sent.Sound_ = {{0xcd, {"i-1/5", "i-2/"}, base::TimePoint(9s)}};
-  std::vector<PromptReportRow> Rows =
+  std::vector<CrashReportRow> Rows =
       encodeReports(Sent, base::RouterId("edge-1"), clockAt(10s, 1'000'000ms));
   ASSERT_EQ(Rows.size(), 2u);
   EXPECT_EQ(Rows[0].Key_, "crash/i-1/5/edge-1");
 
-  PromptReports Received;
+  CrashReports Received;
   ClockReading There = clockAt(500s, 1'003'000ms);
-  for (const PromptReportRow &Each : Rows)
+  for (const CrashReportRow &Each : Rows)
     EXPECT_TRUE(decodeReport(Each.Value_, There, Received));
   ASSERT_EQ(Received.Crashes_.size(), 1u);
   EXPECT_EQ(Received.Crashes_[0].Crash_, "i-1/5");
@@ -51,10 +51,10 @@
   return Out << Value.Name_;
 }
 
-class PromptReportTimeTest : public testing::TestWithParam<TimeCase> {};
+class CrashReportTimeTest : public testing::TestWithParam<TimeCase> {};
 
-TEST_P(PromptReportTimeTest, IsBoundedByNow) {
-  PromptReports Read;
+TEST_P(CrashReportTimeTest, IsBoundedByNow) {
+  CrashReports Read;
   std::string Row = R"({"crash": "i", "parts": [], "at_ms": )";
   Row.append(GetParam().Time_).append("}");
   ASSERT_TRUE(decodeReport(Row, clockAt(100s, 20'000ms), Read));
@@ -62,7 +62,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Times, PromptReportTimeTest,
+    Times, CrashReportTimeTest,
     testing::Values(
         TimeCase{"past", "15000", base::TimePoint(95s)},
         TimeCase{"now", "20000", base::TimePoint(100s)},
@@ -83,7 +83,7 @@
 class UnreadableReportTest : public testing::TestWithParam<RowCase> {};
 
 TEST_P(UnreadableReportTest, IsLeftOut) {
-  PromptReports Read;
+  CrashReports Read;
   EXPECT_FALSE(decodeReport(GetParam().Row_, clockAt(100s, 20'000ms), Read));
   EXPECT_TRUE(Read.empty());
 }
--- a/libs/base/include/camphorwind/base/reasons.h
+++ b/libs/base/include/camphorwind/base/reasons.h
@@ -32,7 +32,7 @@
   Overloaded,
   DeadlineUnreachable,
   DeadlineExceeded,
-  PromptQuarantined,
+  Quarantined,
   BudgetSpent,
   NoSliceTableUnreachable,
   BoundTooLarge,
--- a/libs/base/src/reasons.cpp
+++ b/libs/base/src/reasons.cpp
@@ -44,8 +44,8 @@
     return "deadline_unreachable";
   case RefusalReason::DeadlineExceeded:
     return "deadline_exceeded";
-  case RefusalReason::PromptQuarantined:
-    return "prompt_quarantined";
+  case RefusalReason::Quarantined:
+    return "quarantined";
   case RefusalReason::BudgetSpent:
     return "budget_spent";
   case RefusalReason::NoSliceTableUnreachable:
--- a/libs/routing/include/camphorwind/routing/prompt-quarantine.h
+++ b/libs/routing/include/camphorwind/routing/quarantine.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORWIND_ROUTING_PROMPT_QUARANTINE_H
-#define CAMPHORWIND_ROUTING_PROMPT_QUARANTINE_H
+#ifndef CAMPHORWIND_ROUTING_QUARANTINE_H
+#define CAMPHORWIND_ROUTING_QUARANTINE_H
 
 #include "camphorwind/base/time.h"
 #include "camphorwind/routing/prompt-cache.h"
@@ -21,7 +21,7 @@
 /// Identifies a prompt part, as PromptPart::Id_ does.
 using PromptPartId = std::uint64_t;
 
-struct PromptQuarantineOptions {
+struct QuarantineOptions {
   /// Number of crashes from which a part is quarantined.
   std::size_t QuarantineLimit_ = 3;
   /// Number of crashes from which requests with the part are not repeated.
@@ -72,10 +72,9 @@
 ///
 /// Routers exchange reports, so that all of them come to the same result. No
 /// call does I/O. \p Now must not decrease from call to call.
-class PromptQuarantine {
+class Quarantine {
 public:
-  explicit PromptQuarantine(PromptQuarantineOptions Options = {})
-      : Options_(Options) {}
+  explicit Quarantine(QuarantineOptions Options = {}) : Options_(Options) {}
 
   /// Records a whole answer to a prompt that was sent at \p SentAt.
   void answered(std::span<const PromptPart> Prompt, base::TimePoint SentAt,
@@ -127,7 +126,7 @@
   /// Derives Blames_ and Quarantined_ from Crashes_ if these have changed.
   void refresh();
 
-  PromptQuarantineOptions Options_;
+  QuarantineOptions Options_;
   std::map<std::string, Crash> Crashes_;
   /// Whether Crashes_ has changed since the last refresh(). Many reports may
   /// arrive at once.
@@ -148,4 +147,4 @@
 
 } // namespace camphorwind::routing
 
-#endif // CAMPHORWIND_ROUTING_PROMPT_QUARANTINE_H
+#endif // CAMPHORWIND_ROUTING_QUARANTINE_H
--- a/libs/routing/src/prompt-quarantine.cpp
+++ b/libs/routing/src/quarantine.cpp
@@ -1,4 +1,4 @@
-#include "camphorwind/routing/prompt-quarantine.h"
+#include "camphorwind/routing/quarantine.h"
 
 #include <algorithm>
 #include <utility>
@@ -19,8 +19,8 @@
 
 } // namespace
 
-void PromptQuarantine::answered(std::span<const PromptPart> Prompt,
-                                base::TimePoint SentAt, base::TimePoint Now) {
+void Quarantine::answered(std::span<const PromptPart> Prompt,
+                          base::TimePoint SentAt, base::TimePoint Now) {
   if (LastSound_.size() >= MaxSoundParts ||
       Now - RotatedAt_ > Options_.SoundTime_) {
     OlderSound_ = std::exchange(LastSound_, {});
@@ -34,7 +34,7 @@
   }
 }
 
-bool PromptQuarantine::isSound(PromptPartId Part, base::TimePoint Now) const {
+bool Quarantine::isSound(PromptPartId Part, base::TimePoint Now) const {
   for (const auto *Half : {&LastSound_, &OlderSound_}) {
     auto Found = Half->find(Part);
     if (Found != Half->end())
@@ -44,8 +44,8 @@
 }
 
 std::vector<PromptPartId>
-PromptQuarantine::suspects(std::span<const PromptPart> Prompt,
-                           base::TimePoint Now) const {
+Quarantine::suspects(std::span<const PromptPart> Prompt,
+                     base::TimePoint Now) const {
   std::vector<PromptPartId> Found;
   for (const PromptPart &Each : sharedParts(Prompt))
     if (!isSound(Each.Id_, Now))
@@ -53,8 +53,7 @@
   return Found;
 }
 
-void PromptQuarantine::addCrash(const CrashReport &Report,
-                                base::TimePoint Now) {
+void Quarantine::addCrash(const CrashReport &Report, base::TimePoint Now) {
   if (Now - Report.At_ > Options_.Memory_)
     return;
   auto [Found, New] = Crashes_.try_emplace(Report.Crash_);
@@ -73,7 +72,7 @@
       acquit(Each, Report.At_, Now);
 }
 
-void PromptQuarantine::dropOldestCrash() {
+void Quarantine::dropOldestCrash() {
   refresh();
   auto Oldest = Crashes_.end();
   for (auto Each = Crashes_.begin(); Each != Crashes_.end(); ++Each) {
@@ -91,8 +90,7 @@
   Changed_ = true;
 }
 
-void PromptQuarantine::addSound(const SoundReport &Report,
-                                base::TimePoint Now) {
+void Quarantine::addSound(const SoundReport &Report, base::TimePoint Now) {
   for (const std::string &Each : Report.Crashes_) {
     Acquitted_[{Report.Part_, Each}] = Now;
     auto Found = Crashes_.find(Each);
@@ -102,8 +100,8 @@
   Changed_ = true;
 }
 
-void PromptQuarantine::acquit(PromptPartId Part, base::TimePoint At,
-                              base::TimePoint Now) {
+void Quarantine::acquit(PromptPartId Part, base::TimePoint At,
+                        base::TimePoint Now) {
   refresh();
   auto Blamed = Blames_.find(Part);
   bool HeldBack = Blamed != Blames_.end() &&
@@ -120,12 +118,12 @@
     SoundReports_.push_back(std::move(Report));
 }
 
-std::vector<SoundReport> PromptQuarantine::takeSoundReports() {
+std::vector<SoundReport> Quarantine::takeSoundReports() {
   return std::exchange(SoundReports_, {});
 }
 
-std::unordered_map<PromptPartId, PromptQuarantine::Blame>
-PromptQuarantine::countCrashes(const std::set<std::string> &Explained) const {
+std::unordered_map<PromptPartId, Quarantine::Blame>
+Quarantine::countCrashes(const std::set<std::string> &Explained) const {
   std::unordered_map<PromptPartId, std::vector<base::TimePoint>> Times;
   for (const auto &[Id, Each] : Crashes_)
     if (!Explained.contains(Id))
@@ -145,7 +143,7 @@
   return Blames;
 }
 
-void PromptQuarantine::refresh() {
+void Quarantine::refresh() {
   if (!std::exchange(Changed_, false))
     return;
   std::set<std::string> Explained;
@@ -179,8 +177,8 @@
 }
 
 std::optional<base::Duration>
-PromptQuarantine::quarantineTime(std::span<const PromptPart> Prompt,
-                                 base::TimePoint Now) {
+Quarantine::quarantineTime(std::span<const PromptPart> Prompt,
+                           base::TimePoint Now) {
   refresh();
   if (Quarantined_.empty())
     return std::nullopt;
@@ -196,7 +194,7 @@
   return Longest;
 }
 
-bool PromptQuarantine::mayRepeat(std::span<const PromptPart> Prompt) {
+bool Quarantine::mayRepeat(std::span<const PromptPart> Prompt) {
   refresh();
   auto Parts = sharedParts(Prompt);
   return std::none_of(Parts.begin(), Parts.end(), [&](const PromptPart &Each) {
@@ -206,7 +204,7 @@
   });
 }
 
-void PromptQuarantine::sweep(base::TimePoint Now) {
+void Quarantine::sweep(base::TimePoint Now) {
   refresh();
   std::erase_if(Acquitted_, [&](const auto &Each) {
     return Now - Each.second > Options_.Memory_;
@@ -226,12 +224,12 @@
   Changed_ = Changed_ || Expired > 0;
 }
 
-std::size_t PromptQuarantine::size() {
+std::size_t Quarantine::size() {
   refresh();
   return Quarantined_.size();
 }
 
-std::vector<QuarantineChange> PromptQuarantine::takeChanges() {
+std::vector<QuarantineChange> Quarantine::takeChanges() {
   refresh();
   return std::exchange(Changes_, {});
 }
--- a/libs/routing/test/prompt-quarantine-test.cpp
+++ b/libs/routing/test/quarantine-test.cpp
@@ -1,4 +1,4 @@
-#include "camphorwind/routing/prompt-quarantine.h"
+#include "camphorwind/routing/quarantine.h"
 
 #include <gtest/gtest.h>
 
@@ -58,30 +58,29 @@
   return Out << Value.Name_;
 }
 
-class PromptQuarantineTest : public testing::TestWithParam<QuarantineCase> {};
+class QuarantineTest : public testing::TestWithParam<QuarantineCase> {};
 
-TEST_P(PromptQuarantineTest, BlamesThePartThatExplainsMostCrashes) {
+TEST_P(QuarantineTest, BlamesThePartThatExplainsMostCrashes) {
   const QuarantineCase &Case = GetParam();
-  PromptQuarantine Quarantine;
+  Quarantine Tested;
   std::size_t Number = 0;
   base::TimePoint Now = at(0ms);
   for (const CrashStep &Each : Case.Crashes_) {
     Now = std::max(Now, at(Each.At_));
-    Quarantine.addCrash({std::to_string(++Number), Each.Parts_, at(Each.At_)},
-                        Now);
+    Tested.addCrash({std::to_string(++Number), Each.Parts_, at(Each.At_)}, Now);
   }
   for (std::chrono::milliseconds Each : Case.NewAnsweredAt_)
-    Quarantine.answered(prompt({New}), at(Each), Now + 1s);
+    Tested.answered(prompt({New}), at(Each), Now + 1s);
   Now += 1s;
-  EXPECT_EQ(Quarantine.quarantineTime(prompt({Shared, Bad}), Now).has_value(),
+  EXPECT_EQ(Tested.quarantineTime(prompt({Shared, Bad}), Now).has_value(),
             Case.BadQuarantined_);
-  EXPECT_EQ(Quarantine.quarantineTime(prompt({New}), Now).has_value(),
+  EXPECT_EQ(Tested.quarantineTime(prompt({New}), Now).has_value(),
             Case.NewQuarantined_);
-  EXPECT_FALSE(Quarantine.quarantineTime(prompt({Shared}), Now));
+  EXPECT_FALSE(Tested.quarantineTime(prompt({Shared}), Now));
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Crashes, PromptQuarantineTest,
+    Crashes, QuarantineTest,
     testing::Values(
         QuarantineCase{"none", {}},
         QuarantineCase{"two_crashes", {{0ms, {Bad}}, {1s, {Bad}}}},
@@ -124,70 +123,70 @@
                        true}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
-TEST(PromptQuarantineStateTest, LastPartOfAPromptIsNeverBlamed) {
-  PromptQuarantine Quarantine;
+TEST(QuarantineStateTest, LastPartOfAPromptIsNeverBlamed) {
+  Quarantine Tested;
   std::vector<PromptPart> Prompt{{Shared, 100}, {Bad, 100}};
-  EXPECT_EQ(Quarantine.suspects(Prompt, at(0ms)),
+  EXPECT_EQ(Tested.suspects(Prompt, at(0ms)),
             std::vector<PromptPartId>{Shared});
-  EXPECT_TRUE(Quarantine.suspects({}, at(0ms)).empty());
+  EXPECT_TRUE(Tested.suspects({}, at(0ms)).empty());
 }
 
-TEST(PromptQuarantineStateTest, PartAnsweredLatelyIsNotSuspected) {
-  PromptQuarantine Quarantine;
-  Quarantine.answered(prompt({Shared}), at(0ms), at(500ms));
-  EXPECT_EQ(Quarantine.suspects(prompt({Shared, Bad}), at(5s)),
+TEST(QuarantineStateTest, PartAnsweredLatelyIsNotSuspected) {
+  Quarantine Tested;
+  Tested.answered(prompt({Shared}), at(0ms), at(500ms));
+  EXPECT_EQ(Tested.suspects(prompt({Shared, Bad}), at(5s)),
             std::vector<PromptPartId>{Bad});
-  EXPECT_EQ(Quarantine.suspects(prompt({Shared}), at(6s)),
+  EXPECT_EQ(Tested.suspects(prompt({Shared}), at(6s)),
             std::vector<PromptPartId>{Shared});
 }
 
-TEST(PromptQuarantineStateTest, RequestsAreNotRepeatedFromTheSecondCrash) {
-  PromptQuarantine Quarantine;
-  Quarantine.addCrash({"e1", {Bad}, at(0ms)}, at(0ms));
-  EXPECT_TRUE(Quarantine.mayRepeat(prompt({Bad})));
-  Quarantine.addCrash({"e2", {Bad}, at(1s)}, at(1s));
-  EXPECT_FALSE(Quarantine.mayRepeat(prompt({Shared, Bad})));
-  EXPECT_TRUE(Quarantine.mayRepeat(prompt({Shared})));
+TEST(QuarantineStateTest, RequestsAreNotRepeatedFromTheSecondCrash) {
+  Quarantine Tested;
+  Tested.addCrash({"e1", {Bad}, at(0ms)}, at(0ms));
+  EXPECT_TRUE(Tested.mayRepeat(prompt({Bad})));
+  Tested.addCrash({"e2", {Bad}, at(1s)}, at(1s));
+  EXPECT_FALSE(Tested.mayRepeat(prompt({Shared, Bad})));
+  EXPECT_TRUE(Tested.mayRepeat(prompt({Shared})));
 }
 
-TEST(PromptQuarantineStateTest, ReportsOfOneCrashCountOnce) {
-  PromptQuarantine Quarantine;
+TEST(QuarantineStateTest, ReportsOfOneCrashCountOnce) {
+  Quarantine Tested;
   for (int Router = 0; Router < 5; ++Router)
-    Quarantine.addCrash({"e1", {Bad}, at(Router * 1s)}, at(Router * 1s));
-  EXPECT_EQ(Quarantine.size(), 0u);
+    Tested.addCrash({"e1", {Bad}, at(Router * 1s)}, at(Router * 1s));
+  EXPECT_EQ(Tested.size(), 0u);
 }
 
-TEST(PromptQuarantineStateTest, EndsAfterTheTimeThatItStates) {
-  PromptQuarantine Quarantine;
+TEST(QuarantineStateTest, EndsAfterTheTimeThatItStates) {
+  Quarantine Tested;
   for (int Crash = 0; Crash < 3; ++Crash)
-    Quarantine.addCrash({std::to_string(Crash), {Bad}, at(Crash * 1s)},
-                        at(Crash * 1s));
-  auto Left = Quarantine.quarantineTime(prompt({Bad}), at(2s));
+    Tested.addCrash({std::to_string(Crash), {Bad}, at(Crash * 1s)},
+                    at(Crash * 1s));
+  auto Left = Tested.quarantineTime(prompt({Bad}), at(2s));
   ASSERT_TRUE(Left);
-  Quarantine.sweep(at(2s) + *Left - 1ms);
-  EXPECT_EQ(Quarantine.takeChanges().size(), 1u);
-  Quarantine.sweep(at(2s) + *Left + 1ms);
-  EXPECT_EQ(Quarantine.size(), 0u);
-  EXPECT_FALSE(Quarantine.takeChanges().at(0).Quarantined_);
+  Tested.sweep(at(2s) + *Left - 1ms);
+  EXPECT_EQ(Tested.takeChanges().size(), 1u);
+  Tested.sweep(at(2s) + *Left + 1ms);
+  EXPECT_EQ(Tested.size(), 0u);
+  EXPECT_FALSE(Tested.takeChanges().at(0).Quarantined_);
 }
 
 /// Guards against a quarantine that ends early because many other engines
 /// crash.
-TEST(PromptQuarantineStateTest, OutlastsManyCrashesOfOtherCauses) {
-  PromptQuarantine Quarantine;
+TEST(QuarantineStateTest, OutlastsManyCrashesOfOtherCauses) {
+  Quarantine Tested;
   constexpr int Crashes = 1000;
   for (int Crash = 0; Crash < Crashes; ++Crash) {
     PromptPartId Part =
         Crash < 3 ? Bad : 100 + static_cast<PromptPartId>(Crash);
-    Quarantine.addCrash({std::to_string(Crash), {Part}, at(Crash * 300ms)},
-                        at(Crash * 300ms));
+    Tested.addCrash({std::to_string(Crash), {Part}, at(Crash * 300ms)},
+                    at(Crash * 300ms));
   }
-  EXPECT_TRUE(Quarantine.quarantineTime(prompt({Bad}), at(Crashes * 300ms)));
+  EXPECT_TRUE(Tested.quarantineTime(prompt({Bad}), at(Crashes * 300ms)));
 }
 
-TEST(PromptQuarantineStateTest, AnAnswerElsewhereReleasesThePartEverywhere) {
-  PromptQuarantine Here;
-  PromptQuarantine There;
+TEST(QuarantineStateTest, AnAnswerElsewhereReleasesThePartEverywhere) {
+  Quarantine Here;
+  Quarantine There;
   for (int Crash = 0; Crash < 3; ++Crash) {
     CrashReport Report{std::to_string(Crash), {New}, at(Crash * 1s)};
     Here.addCrash(Report, at(2s));
@@ -367,7 +366,7 @@
 
   FleetCase Case_;
   std::mt19937 Random_;
-  std::vector<PromptQuarantine> Routers_;
+  std::vector<Quarantine> Routers_;
   std::vector<Engine> Engines_;
   std::deque<Message> Messages_;
   base::TimePoint Now_ = at(0ms);
