--- a/daemons/common/refusals.cpp
+++ b/daemons/common/refusals.cpp
@@ -63,7 +63,8 @@
   case RefusalReason::DeadlineUnreachable:
     return {503, "No answer can be expected before the deadline."};
   case RefusalReason::Quarantined:
-    return {503, "A part of the prompt has crashed several engines."};
+    return {503, "This request, or a part of its prompt, has crashed several "
+                 "endpoints."};
   case RefusalReason::NoSliceTableUnreachable:
     return {503, "The budget can't be drawn on at the moment."};
   case RefusalReason::NoEndpoint:
--- a/daemons/direct/crash-reports.cpp
+++ b/daemons/direct/crash-reports.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace camphorwind::direct {
@@ -14,23 +15,58 @@
 namespace {
 
 using Json = nlohmann::json;
+using routing::Suspect;
 using std::chrono::milliseconds;
 
-std::string toHex(routing::PromptPartId Part) {
-  return fmt::format("{:x}", Part);
-}
+constexpr const char *CrashField = "crash";
+constexpr const char *PartsField = "parts";
+constexpr const char *RequestsField = "requests";
+constexpr const char *RepeatedField = "repeated";
+constexpr const char *SoundField = "sound";
+constexpr const char *SoundRequestField = "sound_request";
+constexpr const char *CrashesField = "crashes";
+constexpr const char *TimeField = "at_ms";
+
+std::string toHex(std::uint64_t Id) { return fmt::format("{:x}", Id); }
 
-std::optional<routing::PromptPartId> partFrom(const Json &Value) {
+std::optional<std::uint64_t> idFrom(const Json &Value) {
   if (!Value.is_string())
     return std::nullopt;
   const auto &Text = Value.get_ref<const std::string &>();
   constexpr int Hexadecimal = 16;
-  routing::PromptPartId Part = 0;
-  auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(),
-                                      Part, Hexadecimal);
+  std::uint64_t Id = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Id, Hexadecimal);
   if (Error != std::errc() || End != Text.data() + Text.size())
     return std::nullopt;
-  return Part;
+  return Id;
+}
+
+/// Returns the ids in the list \p Field, none if the field is absent.
+std::optional<std::vector<std::uint64_t>> idsFrom(const Json &Object,
+                                                  const char *Field) {
+  std::vector<std::uint64_t> Ids;
+  auto List = Object.find(Field);
+  if (List == Object.end())
+    return Ids;
+  if (!List->is_array())
+    return std::nullopt;
+  for (const Json &Each : *List) {
+    auto Id = idFrom(Each);
+    if (!Id)
+      return std::nullopt;
+    Ids.push_back(*Id);
+  }
+  return Ids;
+}
+
+/// Returns the ids of the suspects of one kind.
+Json idsOf(const std::vector<Suspect> &Suspects, Suspect::Kind Kind) {
+  Json Ids = Json::array();
+  for (const Suspect &Each : Suspects)
+    if (Each.Kind_ == Kind)
+      Ids.push_back(toHex(Each.Id_));
+  return Ids;
 }
 
 std::int64_t timeOfDay(base::TimePoint At, const ClockReading &Clock) {
@@ -48,29 +84,35 @@
 
 std::optional<routing::CrashReport> crashFrom(const Json &Object,
                                               base::TimePoint At) {
-  auto Parts = Object.find("parts");
-  if (!Object["crash"].is_string() || Parts == Object.end() ||
-      !Parts->is_array())
+  auto Parts = idsFrom(Object, PartsField);
+  auto Requests = idsFrom(Object, RequestsField);
+  auto Repeated = idsFrom(Object, RepeatedField);
+  if (!Object[CrashField].is_string() || !Object.contains(PartsField) ||
+      !Parts || !Requests || !Repeated)
     return std::nullopt;
   routing::CrashReport Report;
-  Report.Crash_ = Object["crash"].get<std::string>();
+  Report.Crash_ = Object[CrashField].get<std::string>();
   Report.At_ = At;
-  for (const Json &Each : *Parts) {
-    auto Part = partFrom(Each);
-    if (!Part)
-      return std::nullopt;
-    Report.Parts_.push_back(*Part);
-  }
+  for (std::uint64_t Each : *Parts)
+    Report.Suspects_.push_back({Suspect::Kind::PromptPart, Each});
+  for (std::uint64_t Each : *Requests)
+    Report.Suspects_.push_back({Suspect::Kind::Request, Each});
+  std::set<std::uint64_t> IsRepeated(Repeated->begin(), Repeated->end());
+  for (const Suspect &Each : Report.Suspects_)
+    if (IsRepeated.contains(Each.Id_))
+      Report.Repeated_.push_back(Each);
   return Report;
 }
 
 std::optional<routing::SoundReport> soundFrom(const Json &Object,
+                                              const char *Field,
+                                              Suspect::Kind Kind,
                                               base::TimePoint At) {
-  auto Part = partFrom(Object["sound"]);
-  auto Crashes = Object.find("crashes");
-  if (!Part || Crashes == Object.end() || !Crashes->is_array())
+  auto Id = idFrom(Object[Field]);
+  auto Crashes = Object.find(CrashesField);
+  if (!Id || Crashes == Object.end() || !Crashes->is_array())
     return std::nullopt;
-  routing::SoundReport Report{*Part, {}, At};
+  routing::SoundReport Report{{Kind, *Id}, {}, At};
   for (const Json &Each : *Crashes) {
     if (!Each.is_string())
       return std::nullopt;
@@ -92,41 +134,55 @@
                                           const ClockReading &Clock) {
   std::vector<CrashReportRow> Rows;
   for (const routing::CrashReport &Each : Reports.Crashes_) {
-    Json Parts = Json::array();
-    for (routing::PromptPartId Part : Each.Parts_)
-      Parts.push_back(toHex(Part));
-    Rows.push_back({fmt::format("crash/{}/{}", Each.Crash_, Router.str()),
-                    Json{{"crash", Each.Crash_},
-                         {"parts", std::move(Parts)},
-                         {"at_ms", timeOfDay(Each.At_, Clock)}}
-                        .dump()});
+    Json Repeated = Json::array();
+    for (const Suspect &One : Each.Repeated_)
+      Repeated.push_back(toHex(One.Id_));
+    Rows.push_back(
+        {fmt::format("crash/{}/{}", Each.Crash_, Router.str()),
+         Json{{CrashField, Each.Crash_},
+              {PartsField, idsOf(Each.Suspects_, Suspect::Kind::PromptPart)},
+              {RequestsField, idsOf(Each.Suspects_, Suspect::Kind::Request)},
+              {RepeatedField, std::move(Repeated)},
+              {TimeField, timeOfDay(Each.At_, Clock)}}
+             .dump()});
+  }
+  for (const routing::SoundReport &Each : Reports.Sound_) {
+    bool IsRequest = Each.Suspect_.Kind_ == Suspect::Kind::Request;
+    Rows.push_back(
+        {fmt::format("{}/{}/{}/{}", IsRequest ? "sound-request" : "sound",
+                     toHex(Each.Suspect_.Id_), Router.str(),
+                     timeOfDay(Each.At_, Clock)),
+         Json{{IsRequest ? SoundRequestField : SoundField,
+               toHex(Each.Suspect_.Id_)},
+              {CrashesField, Each.Crashes_},
+              {TimeField, timeOfDay(Each.At_, Clock)}}
+             .dump()});
   }
-  for (const routing::SoundReport &Each : Reports.Sound_)
-    Rows.push_back({fmt::format("sound/{}/{}/{}", toHex(Each.Part_),
-                                Router.str(), timeOfDay(Each.At_, Clock)),
-                    Json{{"sound", toHex(Each.Part_)},
-                         {"crashes", Each.Crashes_},
-                         {"at_ms", timeOfDay(Each.At_, Clock)}}
-                        .dump()});
   return Rows;
 }
 
 bool decodeReport(std::string_view Value, const ClockReading &Clock,
                   CrashReports &Reports) {
   const Json Object = Json::parse(Value, nullptr, false);
-  if (!Object.is_object() || !Object.contains("at_ms") ||
-      !Object["at_ms"].is_number_integer())
+  if (!Object.is_object() || !Object.contains(TimeField) ||
+      !Object[TimeField].is_number_integer())
     return false;
-  base::TimePoint At = timePoint(Object["at_ms"].get<std::int64_t>(), Clock);
-  if (Object.contains("crash")) {
+  base::TimePoint At = timePoint(Object[TimeField].get<std::int64_t>(), Clock);
+  if (Object.contains(CrashField)) {
     auto Report = crashFrom(Object, At);
     if (Report)
       Reports.Crashes_.push_back(std::move(*Report));
     return Report.has_value();
   }
-  if (!Object.contains("sound"))
+  const char *Field = SoundField;
+  Suspect::Kind Kind = Suspect::Kind::PromptPart;
+  if (Object.contains(SoundRequestField)) {
+    Field = SoundRequestField;
+    Kind = Suspect::Kind::Request;
+  }
+  if (!Object.contains(Field))
     return false;
-  auto Report = soundFrom(Object, At);
+  auto Report = soundFrom(Object, Field, Kind, At);
   if (Report)
     Reports.Sound_.push_back(std::move(*Report));
   return Report.has_value();
--- a/daemons/direct/crash-reports.h
+++ b/daemons/direct/crash-reports.h
@@ -12,7 +12,8 @@
 
 namespace camphorwind::direct {
 
-/// What one router tells the others about prompt parts that crash engines.
+/// What one router tells the others about requests and prompt parts that crash
+/// engines.
 struct CrashReports {
   std::vector<routing::CrashReport> Crashes_;
   std::vector<routing::SoundReport> Sound_;
@@ -37,9 +38,13 @@
 
 /// Returns one row for each report, as JSON objects:
 ///
-///     crash/START/ROUTER  {"crash": START, "parts": [HEX...], "at_ms": TIME}
+///     crash/START/ROUTER
+///         {"crash": START, "parts": [HEX...], "requests": [HEX...],
+///          "repeated": [HEX...], "at_ms": TIME}
 ///     sound/HEX/ROUTER/TIME
-///                         {"sound": HEX, "crashes": [START...], "at_ms": TIME}
+///         {"sound": HEX, "crashes": [START...], "at_ms": TIME}
+///     sound-request/HEX/ROUTER/TIME
+///         {"sound_request": HEX, "crashes": [START...], "at_ms": TIME}
 ///
 /// A report that is written twice has one row.
 std::vector<CrashReportRow> encodeReports(const CrashReports &Reports,
@@ -47,6 +52,7 @@
                                           const ClockReading &Clock);
 /// Appends the report of a row to \p Reports. Returns false, and appends
 /// nothing, if the row can't be parsed. A time in the future counts as now.
+/// "requests" and "repeated" may be absent.
 bool decodeReport(std::string_view Value, const ClockReading &Clock,
                   CrashReports &Reports);
 
--- a/daemons/direct/crash-watch.cpp
+++ b/daemons/direct/crash-watch.cpp
@@ -15,6 +15,9 @@
 constexpr auto ConnectDelay = 30ms;
 /// A refusal arrives within a few milliseconds.
 constexpr auto ConnectTimeout = 300ms;
+/// Most suspects of one crash. More requests are in flight at an endpoint only
+/// if they wait there, and those have not begun to run.
+constexpr std::size_t MaxSuspects = 1000;
 
 } // namespace
 
@@ -26,15 +29,16 @@
         Watcher_(EventLoop, std::move(OnReady)) {}
 
   ListedEndpoint Endpoint_;
-  std::set<routing::PromptPartId> Parts_;
+  /// Whether each suspect was repeated at this endpoint.
+  std::map<routing::Suspect, bool> Suspects_;
   net::Socket Socket_;
   net::Timer Timer_;
   net::FdWatcher Watcher_;
 };
 
-void CrashWatch::attemptBroken(
-    const ListedEndpoint &Endpoint,
-    const std::vector<routing::PromptPartId> &Parts) {
+void CrashWatch::attemptBroken(const ListedEndpoint &Endpoint,
+                               const std::vector<routing::Suspect> &Suspects,
+                               bool Repeated) {
   std::string Id = startName(Endpoint);
   auto Found = Open_.find(Id);
   if (Found == Open_.end()) {
@@ -53,7 +57,13 @@
     Found->second->Endpoint_ = Endpoint;
     Found->second->Timer_.start(ConnectDelay);
   }
-  Found->second->Parts_.insert(Parts.begin(), Parts.end());
+  auto &Known = Found->second->Suspects_;
+  for (const routing::Suspect &Each : Suspects) {
+    if (Known.size() == MaxSuspects)
+      break;
+    bool &WasRepeated = Known[Each];
+    WasRepeated = WasRepeated || Repeated;
+  }
 }
 
 void CrashWatch::connect(const std::string &Id) {
@@ -76,11 +86,21 @@
   Ended->Watcher_.stop();
   Ended->Socket_.close();
   if (Refused)
-    OnCrash_(Ended->Endpoint_, {Ended->Parts_.begin(), Ended->Parts_.end()});
+    OnCrash_(Ended->Endpoint_, makeReport(*Ended));
   // Its own callback may be running.
   Loop_.post([Ended = std::move(Ended)] {});
 }
 
+routing::CrashReport CrashWatch::makeReport(const Inquiry &Ended) const {
+  routing::CrashReport Report{startName(Ended.Endpoint_), {}, Loop_.now(), {}};
+  for (const auto &[Suspect, Repeated] : Ended.Suspects_) {
+    Report.Suspects_.push_back(Suspect);
+    if (Repeated)
+      Report.Repeated_.push_back(Suspect);
+  }
+  return Report;
+}
+
 std::string startName(const ListedEndpoint &Endpoint) {
   return Endpoint.Endpoint_.str() + "/" + Endpoint.StartId_;
 }
--- a/daemons/direct/crash-watch.h
+++ b/daemons/direct/crash-watch.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -22,24 +21,27 @@
 /// made, or not answered, the attempt broke for another reason.
 class CrashWatch {
 public:
-  using OnCrash = std::function<void(const ListedEndpoint &,
-                                     std::vector<routing::PromptPartId>)>;
+  using OnCrash =
+      std::function<void(const ListedEndpoint &, const routing::CrashReport &)>;
 
-  /// \p Callback receives each crash once, with the parts of all attempts that
-  /// broke with it.
+  /// \p Callback receives each crash once, with the suspects of all attempts
+  /// that broke with it.
   CrashWatch(net::Loop &EventLoop, OnCrash Callback)
       : Loop_(EventLoop), OnCrash_(std::move(Callback)) {}
 
-  /// Checks the endpoint of an attempt that broke. \p Parts are the parts of
-  /// its prompt that may have caused a crash.
+  /// Checks the endpoint of an attempt that broke. \p Suspects are what may
+  /// have caused a crash; \p Repeated says that they had been in flight at
+  /// another endpoint, where the attempt before broke.
   void attemptBroken(const ListedEndpoint &Endpoint,
-                     const std::vector<routing::PromptPartId> &Parts);
+                     const std::vector<routing::Suspect> &Suspects,
+                     bool Repeated);
 
 private:
   struct Inquiry;
 
   void connect(const std::string &Id);
   void finish(const std::string &Id, bool Refused);
+  routing::CrashReport makeReport(const Inquiry &Ended) const;
 
   net::Loop &Loop_;
   OnCrash OnCrash_;
--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -62,26 +62,24 @@
   applyEndpointChanges();
 }
 
-void ForwardingContext::endpointCrashed(
-    const ListedEndpoint &Endpoint, std::vector<routing::PromptPartId> Parts) {
-  observe::log(
-      LogLevel::Warning, "endpoint_crashed",
-      {{"endpoint", Endpoint.Endpoint_.str()}, {"suspects", Parts.size()}});
-  if (Parts.empty())
+void ForwardingContext::endpointCrashed(const ListedEndpoint &Endpoint,
+                                        const routing::CrashReport &Report) {
+  observe::log(LogLevel::Warning, "endpoint_crashed",
+               {{"endpoint", Endpoint.Endpoint_.str()},
+                {"suspects", Report.Suspects_.size()}});
+  if (Report.Suspects_.empty())
     return;
-  base::TimePoint Now = Loop_.now();
-  routing::CrashReport Report{startName(Endpoint), std::move(Parts), Now};
-  Quarantine_.addCrash(Report, Now);
-  Reports_.Crashes_.push_back(std::move(Report));
+  Quarantine_.addCrash(Report, Loop_.now());
+  Reports_.Crashes_.push_back(Report);
   quarantineChanged();
 }
 
 void ForwardingContext::quarantineChanged() {
   for (const routing::QuarantineChange &Each : Quarantine_.takeChanges())
     observe::log(LogLevel::Warning,
-                 Each.Quarantined_ ? "prompt_part_quarantined"
-                                   : "prompt_part_released",
-                 {{"part", fmt::format("{:x}", Each.Part_)},
+                 Each.Quarantined_ ? "suspect_quarantined" : "suspect_released",
+                 {{"kind", routing::toString(Each.Suspect_.Kind_)},
+                  {"id", fmt::format("{:x}", Each.Suspect_.Id_)},
                   {"crashes", Each.Crashes_},
                   {"quarantined", Quarantine_.size()}});
   for (const routing::SoundReport &Each : Quarantine_.takeSoundReports())
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -124,6 +124,7 @@
       fingerprint({Request_.Method_, RequestMetadata_.Host_, Request_.Target_,
                    Account_ ? std::string_view(Account_->Account_.str()) : "",
                    Body_ ? std::string_view(*Body_) : ""});
+  Suspects_ = routing::suspectsIn(prompt(), Fingerprint_);
   Context_.poolState(Pool_).Retries_.addRequest(ArrivedAt_);
   if (!refuseQuarantined() && reserveTokens())
     placeAttempt();
@@ -299,7 +300,7 @@
 
 bool ForwardedRequest::refuseQuarantined() {
   auto Left =
-      Context_.Quarantine_.quarantineTime(prompt(), Context_.Loop_.now());
+      Context_.Quarantine_.quarantineTime(Suspects_, Context_.Loop_.now());
   if (!Left)
     return false;
   refuse(RefusalReason::Quarantined, Left);
@@ -594,17 +595,18 @@
     return;
   Context_.Crashes_.attemptBroken(
       Attempt_.Target_,
-      Context_.Quarantine_.suspects(prompt(), Context_.Loop_.now()));
+      Context_.Quarantine_.blamable(Suspects_, Context_.Loop_.now()),
+      std::exchange(BrokeBefore_, true));
 }
 
 void ForwardedRequest::recordSuccess() {
   base::TimePoint Now = Context_.Loop_.now();
   Context_.poolState(Pool_).Selector_.finished(Attempt_.PoolAttempt_, Now);
   ++PossibleRuns_;
-  // An engine may turn a prompt down before it begins to answer it.
+  // An endpoint may turn a request down before it begins to run it.
   constexpr unsigned FirstErrorStatus = 300;
   if (Attempt_.Status_ < FirstErrorStatus)
-    Context_.Quarantine_.answered(prompt(), Attempt_.SentAt_, Now);
+    Context_.Quarantine_.answered(Suspects_, Attempt_.SentAt_, Now);
 }
 
 void ForwardedRequest::recordFailure(routing::FailureKind Kind) {
@@ -677,7 +679,7 @@
 bool ForwardedRequest::allowRetry(bool MayHaveArrived) {
   base::TimePoint Now = Context_.Loop_.now();
   if (Sends_ >= MaxSends || remainingTime(Now) < MinTimeForRetry ||
-      (MayHaveArrived && !Context_.Quarantine_.mayRepeat(prompt())))
+      (MayHaveArrived && !Context_.Quarantine_.mayRepeat(Suspects_)))
     return false;
   return !MayHaveArrived || Context_.poolState(Pool_).Retries_.trySpend(Now);
 }
@@ -745,7 +747,7 @@
   // A request that may not run again gains nothing from being abandoned.
   if (!Route_->repeatable() || PossibleRuns_ + 1 >= Route_->MaxAttempts_ ||
       Sends_ >= MaxSends || remainingTime(Now) < MinTimeForRetry ||
-      !Context_.Quarantine_.mayRepeat(prompt()))
+      !Context_.Quarantine_.mayRepeat(Suspects_))
     return;
   auto &Pool = Context_.poolState(Pool_);
   bool EndpointSilent = Pool.Selector_.silent(Placement_.Endpoint_, Now);
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -125,7 +125,7 @@
   bool allowRetry(bool MayHaveArrived);
   /// Prompt of the request; empty if its route has none.
   std::span<const routing::PromptPart> prompt() const;
-  /// Refuses the request if a part of its prompt is quarantined.
+  /// Refuses the request if it, or a part of its prompt, is quarantined.
   bool refuseQuarantined();
   /// Handles an attempt whose connection ended before its response did.
   void onConnectionLost();
@@ -166,6 +166,10 @@
   RequestMetadata RequestMetadata_;
   /// Equal for all attempts of callers with the same request.
   std::uint64_t Fingerprint_ = 0;
+  /// What of this request may crash endpoints.
+  std::vector<routing::Suspect> Suspects_;
+  /// Whether the connection of an earlier attempt broke.
+  bool BrokeBefore_ = false;
   base::TimePoint ArrivedAt_{};
   /// The earlier of CallerDeadline_ and the route's timeout.
   base::TimePoint Deadline_{};
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -43,8 +43,8 @@
       : Loop_(EventLoop), Settings_(std::move(Settings)),
         Origins_(EventLoop, {}), Escrow_(std::move(Escrow)),
         Crashes_(EventLoop, [this](const ListedEndpoint &Endpoint,
-                                   std::vector<routing::PromptPartId> Parts) {
-          endpointCrashed(Endpoint, std::move(Parts));
+                                   const routing::CrashReport &Report) {
+          endpointCrashed(Endpoint, Report);
         }) {}
   ~ForwardingContext();
   ForwardingContext(const ForwardingContext &) = delete;
@@ -57,10 +57,9 @@
   /// Sends no more requests to an endpoint that states that it is about to shut
   /// down. Requests that it has already received go on.
   void endpointLeaving(const base::EndpointId &Id);
-  /// Reports the crash of an endpoint, with the parts of prompts that may have
-  /// caused it.
+  /// Takes over the report of a crash that this router noticed.
   void endpointCrashed(const ListedEndpoint &Endpoint,
-                       std::vector<routing::PromptPartId> Parts);
+                       const routing::CrashReport &Report);
   /// Logs the changes of Quarantine_, and has reports for other routers sent.
   void quarantineChanged();
   /// Takes the changes of Endpoints_ over into the pools.
--- a/daemons/direct/test/crash-reports-test.cpp
+++ b/daemons/direct/test/crash-reports-test.cpp
@@ -20,11 +20,19 @@
 
 TEST(CrashReportsTest, AnotherRouterReadsWhatOneHasWritten) {
   CrashReports Sent;
-  Sent.Crashes_ = {{"i-1/5", {0xab, 0xffffffffffffffff}, base::TimePoint(8s)}};
-  Sent.Sound_ = {{0xcd, {"i-1/5", "i-2/"}, base::TimePoint(9s)}};
+  using Kind = routing::Suspect::Kind;
+  Sent.Crashes_ = {{"i-1/5",
+                    {{Kind::PromptPart, 0xab},
+                     {Kind::PromptPart, 0xffffffffffffffff},
+                     {Kind::Request, 0x12}},
+                    base::TimePoint(8s),
+                    {{Kind::Request, 0x12}}}};
+  Sent.Sound_ = {
+      {{Kind::PromptPart, 0xcd}, {"i-1/5", "i-2/"}, base::TimePoint(9s)},
+      {{Kind::Request, 0x12}, {"i-1/5"}, base::TimePoint(9s)}};
   std::vector<CrashReportRow> Rows =
       encodeReports(Sent, base::RouterId("edge-1"), clockAt(10s, 1'000'000ms));
-  ASSERT_EQ(Rows.size(), 2u);
+  ASSERT_EQ(Rows.size(), 3u);
   EXPECT_EQ(Rows[0].Key_, "crash/i-1/5/edge-1");
 
   CrashReports Received;
@@ -33,12 +41,25 @@
     EXPECT_TRUE(decodeReport(Each.Value_, There, Received));
   ASSERT_EQ(Received.Crashes_.size(), 1u);
   EXPECT_EQ(Received.Crashes_[0].Crash_, "i-1/5");
-  EXPECT_EQ(Received.Crashes_[0].Parts_, Sent.Crashes_[0].Parts_);
+  EXPECT_EQ(Received.Crashes_[0].Suspects_, Sent.Crashes_[0].Suspects_);
+  EXPECT_EQ(Received.Crashes_[0].Repeated_, Sent.Crashes_[0].Repeated_);
   // 2 s old when it was written, and 3 s by the time of day since then.
   EXPECT_EQ(Received.Crashes_[0].At_, base::TimePoint(495s));
-  ASSERT_EQ(Received.Sound_.size(), 1u);
-  EXPECT_EQ(Received.Sound_[0].Part_, 0xcdu);
-  EXPECT_EQ(Received.Sound_[0].Crashes_, Sent.Sound_[0].Crashes_);
+  ASSERT_EQ(Received.Sound_.size(), 2u);
+  for (std::size_t Index = 0; Index < Sent.Sound_.size(); ++Index) {
+    EXPECT_EQ(Received.Sound_[Index].Suspect_, Sent.Sound_[Index].Suspect_);
+    EXPECT_EQ(Received.Sound_[Index].Crashes_, Sent.Sound_[Index].Crashes_);
+  }
+}
+
+/// Guards against rows of routers of an earlier version that can't be read.
+TEST(CrashReportsTest, RequestsAndRepeatsMayBeAbsent) {
+  CrashReports Read;
+  EXPECT_TRUE(decodeReport(R"({"crash": "i", "parts": ["a"], "at_ms": 1})",
+                           clockAt(100s, 20'000ms), Read));
+  ASSERT_EQ(Read.Crashes_.size(), 1u);
+  EXPECT_EQ(Read.Crashes_[0].Suspects_.size(), 1u);
+  EXPECT_TRUE(Read.Crashes_[0].Repeated_.empty());
 }
 
 struct TimeCase {
@@ -102,6 +123,15 @@
         RowCase{
             "part_too_long",
             R"({"crash": "i", "parts": ["11111111111111111"], "at_ms": 1})"},
+        RowCase{"requests_text",
+                R"({"crash": "i", "parts": [], "requests": "a", "at_ms": 1})"},
+        RowCase{
+            "request_no_hex",
+            R"({"crash": "i", "parts": [], "requests": ["x"], "at_ms": 1})"},
+        RowCase{"repeated_number",
+                R"({"crash": "i", "parts": [], "repeated": [1], "at_ms": 1})"},
+        RowCase{"sound_request_number",
+                R"({"sound_request": 1, "crashes": [], "at_ms": 1})"},
         RowCase{"sound_number", R"({"sound": 1, "crashes": [], "at_ms": 1})"},
         RowCase{"sound_without_crashes", R"({"sound": "a", "at_ms": 1})"},
         RowCase{"sound_crash_number",
--- a/daemons/direct/test/crash-watch-test.cpp
+++ b/daemons/direct/test/crash-watch-test.cpp
@@ -40,8 +40,8 @@
   std::unique_ptr<net::Loop> Loop_;
 };
 
-/// Guards against parts that are blamed for connections which broke while their
-/// engine went on.
+/// Guards against requests that are blamed for connections which broke while
+/// their endpoint went on.
 TEST_P(CrashWatchTest, OnlyARefusedConnectionIsACrash) {
   auto Listening = std::move(net::listenOn({"127.0.0.1", 0}).value());
   ListedEndpoint Endpoint;
@@ -50,22 +50,27 @@
   Endpoint.Address_ = net::localAddress(Listening.fd()).value();
   if (GetParam().Listener_ == Listener::None)
     Listening.close();
-  std::vector<std::string> Crashes;
-  std::vector<routing::PromptPartId> Blamed;
-  CrashWatch Watch(*Loop_, [&](const ListedEndpoint &Crashed,
-                               std::vector<routing::PromptPartId> Parts) {
-    Crashes.push_back(startName(Crashed));
-    Blamed = std::move(Parts);
-  });
-  Watch.attemptBroken(Endpoint, {3, 1});
-  Watch.attemptBroken(Endpoint, {1, 2});
+  std::vector<routing::CrashReport> Crashes;
+  CrashWatch Watch(
+      *Loop_, [&](const ListedEndpoint &, const routing::CrashReport &Report) {
+        Crashes.push_back(Report);
+      });
+  constexpr routing::Suspect Request{routing::Suspect::Kind::Request, 3};
+  constexpr routing::Suspect Part{routing::Suspect::Kind::PromptPart, 1};
+  constexpr routing::Suspect Other{routing::Suspect::Kind::PromptPart, 2};
+  Watch.attemptBroken(Endpoint, {Request, Part}, true);
+  Watch.attemptBroken(Endpoint, {Part, Other}, false);
   wait(500ms);
   if (!GetParam().Crashed_) {
     EXPECT_TRUE(Crashes.empty());
     return;
   }
-  EXPECT_EQ(Crashes, std::vector<std::string>{"i-1/7"});
-  EXPECT_EQ(Blamed, (std::vector<routing::PromptPartId>{1, 2, 3}));
+  ASSERT_EQ(Crashes.size(), 1u);
+  EXPECT_EQ(Crashes[0].Crash_, "i-1/7");
+  EXPECT_EQ(Crashes[0].Suspects_,
+            (std::vector<routing::Suspect>{Part, Other, Request}));
+  EXPECT_EQ(Crashes[0].Repeated_,
+            (std::vector<routing::Suspect>{Part, Request}));
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -659,6 +659,8 @@
     Prompt.append(Middle).append(":90,f");
     Prompt.append(std::to_string(++Asked_)).append(":10");
     Request.Headers_.add("X-Prompt-Parts", std::move(Prompt));
+    Request.Body_ =
+        std::make_shared<const std::string>("body " + std::to_string(Asked_));
     return fetch(std::move(Request));
   }
 
--- a/libs/routing/include/camphorwind/routing/quarantine.h
+++ b/libs/routing/include/camphorwind/routing/quarantine.h
@@ -5,6 +5,7 @@
 #include "camphorwind/routing/prompt-cache.h"
 
 #include <chrono>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -12,63 +13,89 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 namespace camphorwind::routing {
 
-/// Identifies a prompt part, as PromptPart::Id_ does.
-using PromptPartId = std::uint64_t;
+/// What may have crashed an engine.
+struct Suspect {
+  enum class Kind {
+    /// A part of a prompt that requests may share; PromptPart::Id_.
+    PromptPart,
+    /// One request however often it comes, identified by a hash.
+    Request,
+  };
+
+  Kind Kind_ = Kind::PromptPart;
+  std::uint64_t Id_ = 0;
+
+  friend auto operator<=>(const Suspect &, const Suspect &) = default;
+};
+
+/// Returns the name used in logs, such as "prompt_part".
+std::string_view toString(Suspect::Kind Kind);
+
+/// Returns what may crash an engine that runs a request: the request itself,
+/// and all parts of its prompt but the last one, which belongs to one request
+/// or session. \p Request is the same whenever the request comes again.
+std::vector<Suspect> suspectsIn(std::span<const PromptPart> Prompt,
+                                std::uint64_t Request);
 
 struct QuarantineOptions {
-  /// Number of crashes from which a part is quarantined.
+  /// Number of crashes from which a suspect is quarantined.
   std::size_t QuarantineLimit_ = 3;
-  /// Number of crashes from which requests with the part are not repeated.
+  /// Number of crashes from which requests with the suspect are not repeated.
   std::size_t RepeatLimit_ = 2;
   /// Crashes this close to one another count as one: a lost host or a failed
-  /// rollout ends several engines at once, whatever they were answering.
+  /// rollout ends several engines at once, whatever they were answering. A
+  /// crash under a request that is repeated because of the first one counts.
   std::chrono::milliseconds CrashSpacing_{250};
-  /// A part is not blamed for a crash this soon after a whole answer to a
-  /// prompt with it. A part that crashes engines only from some moment on, such
-  /// as the rollout of another engine version, is blamed this much later.
+  /// A suspect is not blamed for a crash this soon after a whole answer to a
+  /// request with it. What crashes engines only from some moment on, such as
+  /// the rollout of another engine version, is blamed this much later.
   std::chrono::milliseconds SoundTime_{5000};
   /// How long a crash counts, and thus how long a quarantine lasts after the
   /// last crash.
   std::chrono::milliseconds Memory_{600'000};
 };
 
-/// The crash of an engine, with parts of the prompts that it was answering for
-/// one router.
+/// The crash of an engine, with what it was answering for one router.
 struct CrashReport {
   /// Names one start of one engine, the same in the reports of all routers.
   std::string Crash_;
-  std::vector<PromptPartId> Parts_;
+  std::vector<Suspect> Suspects_;
   base::TimePoint At_{};
+  /// Those of Suspects_ that were sent to the engine after they had been in
+  /// flight at another one that broke off.
+  std::vector<Suspect> Repeated_;
 };
 
-/// Crashes that a part has not caused, since a prompt with it was answered.
+/// Crashes that a suspect has not caused, since a request with it was answered.
 struct SoundReport {
-  PromptPartId Part_ = 0;
+  Suspect Suspect_;
   std::vector<std::string> Crashes_;
   base::TimePoint At_{};
 };
 
-/// A part that was quarantined or released.
+/// A suspect that was quarantined or released.
 struct QuarantineChange {
-  PromptPartId Part_ = 0;
+  Suspect Suspect_;
   bool Quarantined_ = false;
   std::size_t Crashes_ = 0;
 };
 
-/// Finds prompt parts that crash the engines answering them.
+/// Finds requests and prompt parts that crash the engines answering them.
 ///
-/// Such a part is in flight at each engine that crashes, and no prompt with it
-/// is ever answered. A crash also ends the requests of others, so that sound
-/// parts are in flight too; but these are answered elsewhere. Each crash is
-/// attributed to the part, among those in flight, that was in flight at most
-/// crashes and that no whole answer has cleared. The last part of a prompt
-/// belongs to one request or session and is never blamed.
+/// Such a suspect is in flight at each engine that crashes, and no request with
+/// it is ever answered. A crash also ends the requests of others, so that sound
+/// ones are in flight too; but these are answered elsewhere. Each crash is
+/// attributed to the suspect, among those in flight, that was in flight at most
+/// crashes and that no whole answer has cleared. If a request was in flight at
+/// as many crashes as a part of its prompt, the request is blamed: other
+/// requests with the part may be sound.
 ///
 /// Routers exchange reports, so that all of them come to the same result. No
 /// call does I/O. \p Now must not decrease from call to call.
@@ -76,13 +103,14 @@
 public:
   explicit Quarantine(QuarantineOptions Options = {}) : Options_(Options) {}
 
-  /// Records a whole answer to a prompt that was sent at \p SentAt.
-  void answered(std::span<const PromptPart> Prompt, base::TimePoint SentAt,
+  /// Records a whole answer to a request with \p Suspects that was sent at
+  /// \p SentAt.
+  void answered(std::span<const Suspect> Suspects, base::TimePoint SentAt,
                 base::TimePoint Now);
-  /// Returns the parts that may be to blame if the engine answering \p Prompt
-  /// has crashed.
-  std::vector<PromptPartId> suspects(std::span<const PromptPart> Prompt,
-                                     base::TimePoint Now) const;
+  /// Returns those of \p Suspects that may be to blame if the engine answering
+  /// the request has crashed.
+  std::vector<Suspect> blamable(std::span<const Suspect> Suspects,
+                                base::TimePoint Now) const;
   /// Takes over a report of this router or of another one. A repeated report
   /// has no effect.
   void addCrash(const CrashReport &Report, base::TimePoint Now);
@@ -90,37 +118,49 @@
   /// Returns the proofs, since the last call, that other routers need.
   std::vector<SoundReport> takeSoundReports();
 
-  /// Returns how long the quarantine of a part of \p Prompt still lasts, or
-  /// nothing if the prompt may be sent.
+  /// Returns how long the quarantine of one of \p Suspects still lasts, or
+  /// nothing if the request may be sent.
   std::optional<base::Duration>
-  quarantineTime(std::span<const PromptPart> Prompt, base::TimePoint Now);
+  quarantineTime(std::span<const Suspect> Suspects, base::TimePoint Now);
   /// Whether a request may be sent once more after its engine has failed.
-  bool mayRepeat(std::span<const PromptPart> Prompt);
+  bool mayRepeat(std::span<const Suspect> Suspects);
 
   /// Forgets what no longer counts. Call about every second.
   void sweep(base::TimePoint Now);
-  /// Returns the parts quarantined and released since the last call.
+  /// Returns the suspects quarantined and released since the last call.
   std::vector<QuarantineChange> takeChanges();
-  /// Returns the number of quarantined parts.
+  /// Returns the number of quarantined suspects.
   std::size_t size();
 
 private:
   struct Crash {
     base::TimePoint At_{};
-    std::set<PromptPartId> Parts_;
+    /// Whether each suspect was repeated at this engine after another crash.
+    std::map<Suspect, bool> Suspects_;
   };
-  /// Crashes attributed to a part, before any is attributed to another.
+  /// Crashes attributed to a suspect, before any is attributed to another.
   struct Blame {
     std::size_t Crashes_ = 0;
     base::TimePoint LastAt_{};
   };
-
-  bool isSound(PromptPartId Part, base::TimePoint Now) const;
-  /// Removes the part from the crashes up to \p At, and tells other routers if
-  /// they may hold the part back.
-  void acquit(PromptPartId Part, base::TimePoint At, base::TimePoint Now);
-  std::unordered_map<PromptPartId, Blame>
-  countCrashes(const std::set<std::string> &Explained) const;
+  using Blames = std::map<Suspect, Blame>;
+  struct Hash {
+    std::size_t operator()(const Suspect &Value) const {
+      return Value.Id_ ^ static_cast<std::size_t>(Value.Kind_);
+    }
+  };
+  using Times = std::unordered_map<Suspect, base::TimePoint, Hash>;
+
+  bool isSound(const Suspect &Tested, base::TimePoint Now) const;
+  /// Removes the suspect from the crashes up to \p At, and tells other routers
+  /// if they may hold its requests back.
+  void acquit(const Suspect &Sound, base::TimePoint At, base::TimePoint Now);
+  Blames countCrashes(const std::set<std::string> &Explained) const;
+  /// Returns the suspects to quarantine next, given the crashes that are not
+  /// explained yet; empty if there are none.
+  std::vector<Suspect> mostBlamed(const Blames &Remaining) const;
+  /// Whether one of the crash's suspects is among \p Blamed.
+  static bool isExplained(const Crash &Entry, const Blames &Blamed);
   /// Drops the oldest crash that no quarantine rests on, if there is one.
   void dropOldestCrash();
   /// Derives Blames_ and Quarantined_ from Crashes_ if these have changed.
@@ -131,16 +171,16 @@
   /// Whether Crashes_ has changed since the last refresh(). Many reports may
   /// arrive at once.
   bool Changed_ = false;
-  std::unordered_map<PromptPartId, Blame> Blames_;
-  std::unordered_map<PromptPartId, Blame> Quarantined_;
-  /// When a prompt with the part was last answered. The older half is dropped
-  /// from time to time.
-  std::unordered_map<PromptPartId, base::TimePoint> LastSound_;
-  std::unordered_map<PromptPartId, base::TimePoint> OlderSound_;
+  Blames Blames_;
+  Blames Quarantined_;
+  /// When a request with the suspect was last answered. The older half is
+  /// dropped from time to time.
+  Times LastSound_;
+  Times OlderSound_;
   base::TimePoint RotatedAt_{};
-  /// Crashes that a part has not caused, with the time at which this became
-  /// known: a report that blames the part may still be on its way.
-  std::map<std::pair<PromptPartId, std::string>, base::TimePoint> Acquitted_;
+  /// Crashes that a suspect has not caused, with the time at which this became
+  /// known: a report that blames the suspect may still be on its way.
+  std::map<std::pair<Suspect, std::string>, base::TimePoint> Acquitted_;
   std::vector<SoundReport> SoundReports_;
   std::vector<QuarantineChange> Changes_;
 };
--- a/libs/routing/src/quarantine.cpp
+++ b/libs/routing/src/quarantine.cpp
@@ -1,6 +1,7 @@
 #include "camphorwind/routing/quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace camphorwind::routing {
@@ -9,47 +10,51 @@
 
 /// Crashes that are kept, besides those that a quarantine rests on.
 constexpr std::size_t MaxCrashes = 512;
-/// Most parts whose last answer is kept, in each half.
-constexpr std::size_t MaxSoundParts = 50'000;
+/// Most suspects whose last answer is kept, in each half.
+constexpr std::size_t MaxSound = 50'000;
 
-/// Returns the parts of a prompt that it may share with others.
-std::span<const PromptPart> sharedParts(std::span<const PromptPart> Prompt) {
-  return Prompt.first(Prompt.empty() ? 0 : Prompt.size() - 1);
+} // namespace
+
+std::string_view toString(Suspect::Kind Kind) {
+  return Kind == Suspect::Kind::Request ? "request" : "prompt_part";
 }
 
-} // namespace
+std::vector<Suspect> suspectsIn(std::span<const PromptPart> Prompt,
+                                std::uint64_t Request) {
+  std::vector<Suspect> Found{{Suspect::Kind::Request, Request}};
+  for (std::size_t Part = 0; Part + 1 < Prompt.size(); ++Part)
+    Found.push_back({Suspect::Kind::PromptPart, Prompt[Part].Id_});
+  return Found;
+}
 
-void Quarantine::answered(std::span<const PromptPart> Prompt,
+void Quarantine::answered(std::span<const Suspect> Suspects,
                           base::TimePoint SentAt, base::TimePoint Now) {
-  if (LastSound_.size() >= MaxSoundParts ||
-      Now - RotatedAt_ > Options_.SoundTime_) {
+  if (LastSound_.size() >= MaxSound || Now - RotatedAt_ > Options_.SoundTime_) {
     OlderSound_ = std::exchange(LastSound_, {});
     RotatedAt_ = Now;
   }
   refresh();
-  for (const PromptPart &Each : sharedParts(Prompt)) {
-    LastSound_[Each.Id_] = Now;
-    if (Blames_.contains(Each.Id_))
-      acquit(Each.Id_, SentAt, Now);
+  for (const Suspect &Each : Suspects) {
+    LastSound_[Each] = Now;
+    if (Blames_.contains(Each))
+      acquit(Each, SentAt, Now);
   }
 }
 
-bool Quarantine::isSound(PromptPartId Part, base::TimePoint Now) const {
+bool Quarantine::isSound(const Suspect &Tested, base::TimePoint Now) const {
   for (const auto *Half : {&LastSound_, &OlderSound_}) {
-    auto Found = Half->find(Part);
+    auto Found = Half->find(Tested);
     if (Found != Half->end())
       return Now - Found->second <= Options_.SoundTime_;
   }
   return false;
 }
 
-std::vector<PromptPartId>
-Quarantine::suspects(std::span<const PromptPart> Prompt,
-                     base::TimePoint Now) const {
-  std::vector<PromptPartId> Found;
-  for (const PromptPart &Each : sharedParts(Prompt))
-    if (!isSound(Each.Id_, Now))
-      Found.push_back(Each.Id_);
+std::vector<Suspect> Quarantine::blamable(std::span<const Suspect> Suspects,
+                                          base::TimePoint Now) const {
+  std::vector<Suspect> Found;
+  std::copy_if(Suspects.begin(), Suspects.end(), std::back_inserter(Found),
+               [&](const Suspect &Each) { return !isSound(Each, Now); });
   return Found;
 }
 
@@ -60,27 +65,34 @@
   Crash &Entry = Found->second;
   if (New)
     Entry.At_ = Report.At_;
-  for (PromptPartId Each : Report.Parts_)
+  for (const Suspect &Each : Report.Suspects_)
     if (!Acquitted_.contains({Each, Report.Crash_}))
-      Entry.Parts_.insert(Each);
+      Entry.Suspects_.emplace(Each, false);
+  for (const Suspect &Each : Report.Repeated_)
+    if (auto Repeated = Entry.Suspects_.find(Each);
+        Repeated != Entry.Suspects_.end())
+      Repeated->second = true;
   Changed_ = true;
   if (Crashes_.size() > MaxCrashes)
     dropOldestCrash();
   // This router may know better than the one that reported the crash.
-  for (PromptPartId Each : Report.Parts_)
+  for (const Suspect &Each : Report.Suspects_)
     if (isSound(Each, Now))
       acquit(Each, Report.At_, Now);
 }
 
+bool Quarantine::isExplained(const Crash &Entry, const Blames &Blamed) {
+  return std::any_of(
+      Entry.Suspects_.begin(), Entry.Suspects_.end(),
+      [&](const auto &Each) { return Blamed.contains(Each.first); });
+}
+
 void Quarantine::dropOldestCrash() {
   refresh();
   auto Oldest = Crashes_.end();
   for (auto Each = Crashes_.begin(); Each != Crashes_.end(); ++Each) {
     const Crash &Entry = Each->second;
-    bool Quarantines = std::any_of(
-        Entry.Parts_.begin(), Entry.Parts_.end(),
-        [&](PromptPartId Part) { return Quarantined_.contains(Part); });
-    if (!Quarantines &&
+    if (!isExplained(Entry, Quarantined_) &&
         (Oldest == Crashes_.end() || Entry.At_ < Oldest->second.At_))
       Oldest = Each;
   }
@@ -92,25 +104,25 @@
 
 void Quarantine::addSound(const SoundReport &Report, base::TimePoint Now) {
   for (const std::string &Each : Report.Crashes_) {
-    Acquitted_[{Report.Part_, Each}] = Now;
+    Acquitted_[{Report.Suspect_, Each}] = Now;
     auto Found = Crashes_.find(Each);
     if (Found != Crashes_.end())
-      Found->second.Parts_.erase(Report.Part_);
+      Found->second.Suspects_.erase(Report.Suspect_);
   }
   Changed_ = true;
 }
 
-void Quarantine::acquit(PromptPartId Part, base::TimePoint At,
+void Quarantine::acquit(const Suspect &Sound, base::TimePoint At,
                         base::TimePoint Now) {
   refresh();
-  auto Blamed = Blames_.find(Part);
+  auto Blamed = Blames_.find(Sound);
   bool HeldBack = Blamed != Blames_.end() &&
                   Blamed->second.Crashes_ >= Options_.RepeatLimit_;
-  SoundReport Report{Part, {}, Now};
+  SoundReport Report{Sound, {}, Now};
   for (auto &[Id, Each] : Crashes_) {
-    if (Each.At_ > At || Each.Parts_.erase(Part) == 0)
+    if (Each.At_ > At || Each.Suspects_.erase(Sound) == 0)
       continue;
-    Acquitted_[{Part, Id}] = Now;
+    Acquitted_[{Sound, Id}] = Now;
     Report.Crashes_.push_back(Id);
   }
   Changed_ = Changed_ || !Report.Crashes_.empty();
@@ -122,69 +134,85 @@
   return std::exchange(SoundReports_, {});
 }
 
-std::unordered_map<PromptPartId, Quarantine::Blame>
+Quarantine::Blames
 Quarantine::countCrashes(const std::set<std::string> &Explained) const {
-  std::unordered_map<PromptPartId, std::vector<base::TimePoint>> Times;
+  struct Occurrence {
+    base::TimePoint At_{};
+    bool Repeated_ = false;
+    auto operator<=>(const Occurrence &) const = default;
+  };
+  std::map<Suspect, std::vector<Occurrence>> Occurrences;
   for (const auto &[Id, Each] : Crashes_)
     if (!Explained.contains(Id))
-      for (PromptPartId Part : Each.Parts_)
-        Times[Part].push_back(Each.At_);
-  std::unordered_map<PromptPartId, Blame> Blames;
-  for (auto &[Part, All] : Times) {
+      for (const auto &[One, Repeated] : Each.Suspects_)
+        Occurrences[One].push_back({Each.At_, Repeated});
+  Blames Counted;
+  for (auto &[One, All] : Occurrences) {
     std::sort(All.begin(), All.end());
-    Blame &Result = Blames[Part];
-    for (base::TimePoint Each : All) {
-      if (Result.Crashes_ > 0 && Each - Result.LastAt_ < Options_.CrashSpacing_)
+    Blame &Result = Counted[One];
+    for (const Occurrence &Each : All) {
+      if (Result.Crashes_ > 0 && !Each.Repeated_ &&
+          Each.At_ - Result.LastAt_ < Options_.CrashSpacing_)
         continue;
       ++Result.Crashes_;
-      Result.LastAt_ = Each;
+      Result.LastAt_ = Each.At_;
     }
   }
-  return Blames;
+  return Counted;
+}
+
+std::vector<Suspect> Quarantine::mostBlamed(const Blames &Remaining) const {
+  std::size_t Most = 0;
+  for (const auto &[One, Each] : Remaining)
+    Most = std::max(Most, Each.Crashes_);
+  std::vector<Suspect> Found;
+  if (Most < Options_.QuarantineLimit_)
+    return Found;
+  // Suspects of one kind with as many crashes can't be told apart before one is
+  // answered.
+  bool IsRequest = false;
+  for (const auto &[One, Each] : Remaining)
+    IsRequest = IsRequest ||
+                (Each.Crashes_ == Most && One.Kind_ == Suspect::Kind::Request);
+  for (const auto &[One, Each] : Remaining)
+    if (Each.Crashes_ == Most &&
+        (One.Kind_ == Suspect::Kind::Request) == IsRequest)
+      Found.push_back(One);
+  return Found;
 }
 
 void Quarantine::refresh() {
   if (!std::exchange(Changed_, false))
     return;
   std::set<std::string> Explained;
-  std::unordered_map<PromptPartId, Blame> Quarantined;
+  Blames Quarantined;
   Blames_ = countCrashes(Explained);
-  auto Remaining = Blames_;
-  for (;;) {
-    std::size_t Most = 0;
-    for (const auto &[Part, Each] : Remaining)
-      Most = std::max(Most, Each.Crashes_);
-    if (Most < Options_.QuarantineLimit_)
-      break;
-    // Parts with as many crashes can't be told apart before one is answered.
-    for (const auto &[Part, Each] : Remaining)
-      if (Each.Crashes_ == Most)
-        Quarantined.emplace(Part, Blames_.at(Part));
+  for (auto Next = mostBlamed(Blames_); !Next.empty();
+       Next = mostBlamed(countCrashes(Explained))) {
+    for (const Suspect &One : Next)
+      Quarantined.emplace(One, Blames_.at(One));
     for (const auto &[Id, Each] : Crashes_)
-      if (std::any_of(
-              Each.Parts_.begin(), Each.Parts_.end(),
-              [&](PromptPartId Part) { return Quarantined.contains(Part); }))
+      if (isExplained(Each, Quarantined))
         Explained.insert(Id);
-    Remaining = countCrashes(Explained);
   }
-  for (const auto &[Part, Each] : Quarantined)
-    if (!Quarantined_.contains(Part))
-      Changes_.push_back({Part, true, Each.Crashes_});
-  for (const auto &[Part, Each] : Quarantined_)
-    if (!Quarantined.contains(Part))
-      Changes_.push_back({Part, false, Each.Crashes_});
+  for (const auto &[One, Each] : Quarantined)
+    if (!Quarantined_.contains(One))
+      Changes_.push_back({One, true, Each.Crashes_});
+  for (const auto &[One, Each] : Quarantined_)
+    if (!Quarantined.contains(One))
+      Changes_.push_back({One, false, Each.Crashes_});
   Quarantined_ = std::move(Quarantined);
 }
 
 std::optional<base::Duration>
-Quarantine::quarantineTime(std::span<const PromptPart> Prompt,
+Quarantine::quarantineTime(std::span<const Suspect> Suspects,
                            base::TimePoint Now) {
   refresh();
   if (Quarantined_.empty())
     return std::nullopt;
   std::optional<base::Duration> Longest;
-  for (const PromptPart &Each : sharedParts(Prompt)) {
-    auto Found = Quarantined_.find(Each.Id_);
+  for (const Suspect &Each : Suspects) {
+    auto Found = Quarantined_.find(Each);
     if (Found == Quarantined_.end())
       continue;
     base::Duration Left = Found->second.LastAt_ + Options_.Memory_ - Now;
@@ -194,14 +222,14 @@
   return Longest;
 }
 
-bool Quarantine::mayRepeat(std::span<const PromptPart> Prompt) {
+bool Quarantine::mayRepeat(std::span<const Suspect> Suspects) {
   refresh();
-  auto Parts = sharedParts(Prompt);
-  return std::none_of(Parts.begin(), Parts.end(), [&](const PromptPart &Each) {
-    auto Found = Blames_.find(Each.Id_);
-    return Found != Blames_.end() &&
-           Found->second.Crashes_ >= Options_.RepeatLimit_;
-  });
+  return std::none_of(Suspects.begin(), Suspects.end(),
+                      [&](const Suspect &Each) {
+                        auto Found = Blames_.find(Each);
+                        return Found != Blames_.end() &&
+                               Found->second.Crashes_ >= Options_.RepeatLimit_;
+                      });
 }
 
 void Quarantine::sweep(base::TimePoint Now) {
@@ -211,15 +239,16 @@
   });
   // A quarantine lasts until its last crash is forgotten, so the earlier ones
   // are kept until then.
-  auto IsNeeded = [&](PromptPartId Part) {
-    auto Found = Quarantined_.find(Part);
+  auto IsNeeded = [&](const auto &Each) {
+    auto Found = Quarantined_.find(Each.first);
     return Found != Quarantined_.end() &&
            Now - Found->second.LastAt_ <= Options_.Memory_;
   };
   std::size_t Expired = std::erase_if(Crashes_, [&](const auto &Each) {
     const Crash &Entry = Each.second;
     return Now - Entry.At_ > Options_.Memory_ &&
-           std::none_of(Entry.Parts_.begin(), Entry.Parts_.end(), IsNeeded);
+           std::none_of(Entry.Suspects_.begin(), Entry.Suspects_.end(),
+                        IsNeeded);
   });
   Changed_ = Changed_ || Expired > 0;
 }
--- a/libs/routing/test/quarantine-test.cpp
+++ b/libs/routing/test/quarantine-test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -12,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 using namespace camphorwind;
@@ -20,31 +22,38 @@
 
 namespace {
 
-constexpr PromptPartId Bad = 1;
-constexpr PromptPartId Shared = 2;
-constexpr PromptPartId New = 3;
+constexpr Suspect part(std::uint64_t Id) {
+  return {Suspect::Kind::PromptPart, Id};
+}
+constexpr Suspect request(std::uint64_t Id) {
+  return {Suspect::Kind::Request, Id};
+}
+
+constexpr Suspect Bad = part(1);
+constexpr Suspect Shared = part(2);
+constexpr Suspect New = part(3);
+/// A request that comes again and again.
+constexpr Suspect Deadly = request(7);
 
 base::TimePoint at(std::chrono::milliseconds Time) {
   return base::TimePoint(1h) + Time;
 }
 
-/// A prompt of \p Shared parts and one of its own.
-std::vector<PromptPart> prompt(std::vector<PromptPartId> Parts) {
-  static PromptPartId Own = 1'000'000;
-  std::vector<PromptPart> Result;
-  Parts.push_back(++Own);
-  Result.reserve(Parts.size());
-  for (PromptPartId Each : Parts)
-    Result.push_back({Each, 100});
-  return Result;
+/// The suspects of a request that comes once, with \p Parts in its prompt.
+std::vector<Suspect> once(std::vector<Suspect> Parts) {
+  static std::uint64_t Id = 1'000'000;
+  Parts.push_back(request(++Id));
+  return Parts;
 }
 
 struct CrashStep {
   std::chrono::milliseconds At_;
-  std::vector<PromptPartId> Parts_;
+  std::vector<Suspect> Suspects_;
+  /// Whether the suspects were repeated there after the crash before.
+  bool Repeated_ = false;
 };
 
-/// Crashes, and answers to prompts with a part, seen by one router.
+/// Crashes, and answers to requests with a part, seen by one router.
 struct QuarantineCase {
   std::string_view Name_;
   std::vector<CrashStep> Crashes_;
@@ -52,6 +61,7 @@
   std::vector<std::chrono::milliseconds> NewAnsweredAt_;
   bool BadQuarantined_ = false;
   bool NewQuarantined_ = false;
+  bool DeadlyQuarantined_ = false;
 };
 
 std::ostream &operator<<(std::ostream &Out, const QuarantineCase &Value) {
@@ -60,23 +70,27 @@
 
 class QuarantineTest : public testing::TestWithParam<QuarantineCase> {};
 
-TEST_P(QuarantineTest, BlamesThePartThatExplainsMostCrashes) {
+TEST_P(QuarantineTest, BlamesWhatExplainsMostCrashes) {
   const QuarantineCase &Case = GetParam();
   Quarantine Tested;
   std::size_t Number = 0;
   base::TimePoint Now = at(0ms);
   for (const CrashStep &Each : Case.Crashes_) {
     Now = std::max(Now, at(Each.At_));
-    Tested.addCrash({std::to_string(++Number), Each.Parts_, at(Each.At_)}, Now);
+    Tested.addCrash({std::to_string(++Number), Each.Suspects_, at(Each.At_),
+                     Each.Repeated_ ? Each.Suspects_ : std::vector<Suspect>()},
+                    Now);
   }
   for (std::chrono::milliseconds Each : Case.NewAnsweredAt_)
-    Tested.answered(prompt({New}), at(Each), Now + 1s);
+    Tested.answered(once({New}), at(Each), Now + 1s);
   Now += 1s;
-  EXPECT_EQ(Tested.quarantineTime(prompt({Shared, Bad}), Now).has_value(),
+  EXPECT_EQ(Tested.quarantineTime(once({Shared, Bad}), Now).has_value(),
             Case.BadQuarantined_);
-  EXPECT_EQ(Tested.quarantineTime(prompt({New}), Now).has_value(),
+  EXPECT_EQ(Tested.quarantineTime(once({New}), Now).has_value(),
             Case.NewQuarantined_);
-  EXPECT_FALSE(Tested.quarantineTime(prompt({Shared}), Now));
+  EXPECT_EQ(Tested.quarantineTime(std::vector{Deadly}, Now).has_value(),
+            Case.DeadlyQuarantined_);
+  EXPECT_FALSE(Tested.quarantineTime(once({Shared}), Now));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -120,33 +134,72 @@
                         {5s, {New}}},
                        {},
                        true,
-                       true}),
+                       true},
+        QuarantineCase{"request_of_a_plain_service",
+                       {{0ms, {Deadly}}, {1s, {Deadly}}, {2s, {Deadly}}},
+                       {},
+                       false,
+                       false,
+                       true},
+        QuarantineCase{
+            "request_with_a_part_of_its_own",
+            {{0ms, {Deadly, New}}, {1s, {Deadly, New}}, {2s, {Deadly, New}}},
+            {},
+            false,
+            false,
+            true},
+        QuarantineCase{"part_of_several_requests",
+                       {{0ms, {Deadly, Bad}},
+                        {1s, {Deadly, Bad}},
+                        {2s, {Deadly, Bad}},
+                        {3s, {Bad}}},
+                       {},
+                       true},
+        QuarantineCase{"request_and_part",
+                       {{0ms, {Deadly}},
+                        {1s, {Deadly}},
+                        {2s, {Deadly}},
+                        {3s, {Bad}},
+                        {4s, {Bad}},
+                        {5s, {Bad}}},
+                       {},
+                       true,
+                       false,
+                       true},
+        QuarantineCase{
+            "repeats_at_once",
+            {{0ms, {Deadly}}, {50ms, {Deadly}, true}, {100ms, {Deadly}, true}},
+            {},
+            false,
+            false,
+            true},
+        QuarantineCase{"copies_at_once",
+                       {{0ms, {Deadly}}, {50ms, {Deadly}}, {100ms, {Deadly}}}}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
-TEST(QuarantineStateTest, LastPartOfAPromptIsNeverBlamed) {
-  Quarantine Tested;
-  std::vector<PromptPart> Prompt{{Shared, 100}, {Bad, 100}};
-  EXPECT_EQ(Tested.suspects(Prompt, at(0ms)),
-            std::vector<PromptPartId>{Shared});
-  EXPECT_TRUE(Tested.suspects({}, at(0ms)).empty());
+TEST(QuarantineStateTest, LastPartOfAPromptIsNoSuspect) {
+  std::vector<PromptPart> Prompt{{Shared.Id_, 100}, {Bad.Id_, 100}};
+  EXPECT_EQ(suspectsIn(Prompt, Deadly.Id_),
+            (std::vector<Suspect>{Deadly, Shared}));
+  EXPECT_EQ(suspectsIn({}, Deadly.Id_), std::vector<Suspect>{Deadly});
 }
 
-TEST(QuarantineStateTest, PartAnsweredLatelyIsNotSuspected) {
+TEST(QuarantineStateTest, WhatWasAnsweredLatelyIsNotBlamed) {
   Quarantine Tested;
-  Tested.answered(prompt({Shared}), at(0ms), at(500ms));
-  EXPECT_EQ(Tested.suspects(prompt({Shared, Bad}), at(5s)),
-            std::vector<PromptPartId>{Bad});
-  EXPECT_EQ(Tested.suspects(prompt({Shared}), at(6s)),
-            std::vector<PromptPartId>{Shared});
+  std::vector<Suspect> Answered{Deadly, Shared};
+  Tested.answered(Answered, at(0ms), at(500ms));
+  std::vector<Suspect> InFlight{Deadly, Shared, Bad};
+  EXPECT_EQ(Tested.blamable(InFlight, at(5s)), std::vector<Suspect>{Bad});
+  EXPECT_EQ(Tested.blamable(InFlight, at(6s)), InFlight);
 }
 
 TEST(QuarantineStateTest, RequestsAreNotRepeatedFromTheSecondCrash) {
   Quarantine Tested;
   Tested.addCrash({"e1", {Bad}, at(0ms)}, at(0ms));
-  EXPECT_TRUE(Tested.mayRepeat(prompt({Bad})));
+  EXPECT_TRUE(Tested.mayRepeat(once({Bad})));
   Tested.addCrash({"e2", {Bad}, at(1s)}, at(1s));
-  EXPECT_FALSE(Tested.mayRepeat(prompt({Shared, Bad})));
-  EXPECT_TRUE(Tested.mayRepeat(prompt({Shared})));
+  EXPECT_FALSE(Tested.mayRepeat(once({Shared, Bad})));
+  EXPECT_TRUE(Tested.mayRepeat(once({Shared})));
 }
 
 TEST(QuarantineStateTest, ReportsOfOneCrashCountOnce) {
@@ -161,7 +214,7 @@
   for (int Crash = 0; Crash < 3; ++Crash)
     Tested.addCrash({std::to_string(Crash), {Bad}, at(Crash * 1s)},
                     at(Crash * 1s));
-  auto Left = Tested.quarantineTime(prompt({Bad}), at(2s));
+  auto Left = Tested.quarantineTime(once({Bad}), at(2s));
   ASSERT_TRUE(Left);
   Tested.sweep(at(2s) + *Left - 1ms);
   EXPECT_EQ(Tested.takeChanges().size(), 1u);
@@ -176,12 +229,12 @@
   Quarantine Tested;
   constexpr int Crashes = 1000;
   for (int Crash = 0; Crash < Crashes; ++Crash) {
-    PromptPartId Part =
-        Crash < 3 ? Bad : 100 + static_cast<PromptPartId>(Crash);
-    Tested.addCrash({std::to_string(Crash), {Part}, at(Crash * 300ms)},
+    Suspect Blamed =
+        Crash < 3 ? Bad : part(100 + static_cast<std::uint64_t>(Crash));
+    Tested.addCrash({std::to_string(Crash), {Blamed}, at(Crash * 300ms)},
                     at(Crash * 300ms));
   }
-  EXPECT_TRUE(Tested.quarantineTime(prompt({Bad}), at(Crashes * 300ms)));
+  EXPECT_TRUE(Tested.quarantineTime(once({Bad}), at(Crashes * 300ms)));
 }
 
 TEST(QuarantineStateTest, AnAnswerElsewhereReleasesThePartEverywhere) {
@@ -193,7 +246,7 @@
     There.addCrash(Report, at(2s));
   }
   EXPECT_EQ(Here.size(), 1u);
-  There.answered(prompt({New}), at(2500ms), at(3s));
+  There.answered(once({New}), at(2500ms), at(3s));
   EXPECT_EQ(There.size(), 0u);
   std::vector<SoundReport> Reports = There.takeSoundReports();
   ASSERT_EQ(Reports.size(), 1u);
@@ -205,7 +258,7 @@
   EXPECT_EQ(Here.size(), 0u);
 }
 
-/// A fleet before engines that crash under prompts with one part.
+/// A fleet before engines that crash under one part, or one request.
 struct FleetCase {
   std::string_view Name_;
   unsigned Routers_ = 4;
@@ -214,8 +267,14 @@
   double Rate_ = 150;
   double BadRate_ = 2;
   unsigned Seed_ = 1;
-  /// Time up to which prompts with the part are answered like others.
+  /// Time up to which requests with the part are answered like others.
   std::chrono::milliseconds SoundUntil_{0};
+  /// One request with a document of its own crashes engines, instead of a part.
+  bool IsRequest_ = false;
+  /// Requests have no prompts.
+  bool IsPlain_ = false;
+  /// Routers repeat a request once after its engine has crashed.
+  bool Repeats_ = false;
 };
 
 std::ostream &operator<<(std::ostream &Out, const FleetCase &Value) {
@@ -246,8 +305,8 @@
   }
 
   int Crashes_ = 0;
-  /// Requests with the part that were sent after the fifth crash and the time
-  /// that routers have to learn of it.
+  /// Requests that crash engines, sent after the crash from which routers
+  /// should know and the time that they have to learn of it.
   int SentLate_ = 0;
   int SoundAsked_ = 0;
   int SoundRefused_ = 0;
@@ -257,15 +316,18 @@
   static constexpr double StepSeconds = 0.01;
   static constexpr auto ReportDelay = 200ms;
   static constexpr auto LearnTime = 3000ms;
-  static constexpr int CrashesUntilKnown = 5;
+
+  /// Number of crashes from which routers should know.
+  int crashesUntilKnown() const { return Case_.IsRequest_ ? 3 : 5; }
 
   struct Request {
-    std::vector<PromptPart> Prompt_;
+    std::vector<Suspect> Suspects_;
     std::size_t Router_ = 0;
     base::TimePoint SentAt_{};
     base::TimePoint BeginsAt_{};
     base::TimePoint EndsAt_{};
     bool Bad_ = false;
+    bool Repeated_ = false;
   };
   struct Engine {
     std::vector<Request> Running_;
@@ -283,33 +345,46 @@
     return std::uniform_int_distribution<std::size_t>(0, Count - 1)(Random_);
   }
 
-  void ask(bool WithBadPart) {
+  void ask(bool IsBad) {
     // Sound requests share the first part and one of 40 documents, half of
     // which appear only in the course of the run.
-    constexpr PromptPartId FirstDocument = 100;
+    constexpr std::uint64_t FirstDocument = 100;
     auto Age = std::chrono::duration_cast<std::chrono::seconds>(Now_ - at(0ms));
     std::size_t Documents =
         20 + std::min<std::size_t>(20, static_cast<std::size_t>(Age.count()));
-    PromptPartId Document = FirstDocument + pick(Documents);
+    Suspect Document = part(FirstDocument + pick(Documents));
     Request Made;
-    Made.Bad_ = WithBadPart;
-    Made.Prompt_ = WithBadPart ? prompt({Shared, Document, Bad})
-                               : prompt({Shared, Document});
+    Made.Bad_ = IsBad;
+    if (IsBad && Case_.IsRequest_)
+      Made.Suspects_ = {Deadly, Shared, New};
+    else if (IsBad)
+      Made.Suspects_ = once({Shared, Document, Bad});
+    else
+      Made.Suspects_ = once({Shared, Document});
+    if (Case_.IsPlain_)
+      std::erase_if(Made.Suspects_, [](const Suspect &Each) {
+        return Each.Kind_ == Suspect::Kind::PromptPart;
+      });
     Made.Router_ = pick(Routers_.size());
-    Made.SentAt_ = Now_;
-    SoundAsked_ += WithBadPart ? 0 : 1;
-    if (Routers_[Made.Router_].quarantineTime(Made.Prompt_, Now_)) {
-      SoundRefused_ += WithBadPart ? 0 : 1;
-      return;
-    }
+    SoundAsked_ += IsBad ? 0 : 1;
+    if (!send(Made))
+      SoundRefused_ += IsBad ? 0 : 1;
+  }
+
+  /// Returns false if the router refuses the request.
+  bool send(Request Made) {
+    if (Routers_[Made.Router_].quarantineTime(Made.Suspects_, Now_))
+      return false;
     Engine &Target = Engines_[pick(Engines_.size())];
     if (Now_ < Target.BackAt_)
-      return;
-    if (WithBadPart && FifthCrashAt_ && Now_ > *FifthCrashAt_ + LearnTime)
+      return true;
+    if (Made.Bad_ && KnownFrom_ && Now_ > *KnownFrom_ + LearnTime)
       ++SentLate_;
+    Made.SentAt_ = Now_;
     Made.BeginsAt_ = Now_ + 50ms + 10ms * pick(30);
     Made.EndsAt_ = Made.BeginsAt_ + 200ms + 10ms * pick(80);
     Target.Running_.push_back(std::move(Made));
+    return true;
   }
 
   void serve(Engine &From) {
@@ -322,28 +397,40 @@
     std::erase_if(From.Running_, [&](const Request &Each) {
       if (Now_ < Each.EndsAt_)
         return false;
-      Routers_[Each.Router_].answered(Each.Prompt_, Each.SentAt_, Now_);
+      Routers_[Each.Router_].answered(Each.Suspects_, Each.SentAt_, Now_);
       return true;
     });
   }
 
   void crash(Engine &Of) {
-    if (++Crashes_ == CrashesUntilKnown)
-      FifthCrashAt_ = Now_;
+    if (++Crashes_ == crashesUntilKnown())
+      KnownFrom_ = Now_;
     std::string Name = std::to_string(&Of - Engines_.data()) + "/" +
                        std::to_string(++Of.Starts_);
-    std::map<std::size_t, std::set<PromptPartId>> Blamed;
+    std::map<std::size_t, std::map<Suspect, bool>> Blamed;
     for (const Request &Each : Of.Running_)
-      for (PromptPartId Part :
-           Routers_[Each.Router_].suspects(Each.Prompt_, Now_))
-        Blamed[Each.Router_].insert(Part);
-    for (const auto &[Router, Parts] : Blamed) {
-      CrashReport Report{Name, {Parts.begin(), Parts.end()}, Now_};
+      for (const Suspect &One :
+           Routers_[Each.Router_].blamable(Each.Suspects_, Now_)) {
+        bool &Repeated = Blamed[Each.Router_][One];
+        Repeated = Repeated || Each.Repeated_;
+      }
+    for (const auto &[Router, Suspects] : Blamed) {
+      CrashReport Report{Name, {}, Now_, {}};
+      for (const auto &[One, Repeated] : Suspects) {
+        Report.Suspects_.push_back(One);
+        if (Repeated)
+          Report.Repeated_.push_back(One);
+      }
       Routers_[Router].addCrash(Report, Now_);
       Messages_.push_back({Now_ + ReportDelay, Router, Report, {}});
     }
-    Of.Running_.clear();
     Of.BackAt_ = Now_ + 4s;
+    for (Request &Each : std::exchange(Of.Running_, {})) {
+      if (!Case_.Repeats_ || std::exchange(Each.Repeated_, true) ||
+          !Routers_[Each.Router_].mayRepeat(Each.Suspects_))
+        continue;
+      send(std::move(Each));
+    }
   }
 
   void deliver() {
@@ -370,13 +457,13 @@
   std::vector<Engine> Engines_;
   std::deque<Message> Messages_;
   base::TimePoint Now_ = at(0ms);
-  std::optional<base::TimePoint> FifthCrashAt_;
+  std::optional<base::TimePoint> KnownFrom_;
 };
 
 class QuarantineFleetTest : public testing::TestWithParam<FleetCase> {};
 
-/// Guards against a prompt part that crashes engine after engine while its
-/// requests come at any router, and against the refusal of sound requests that
+/// Guards against a prompt part, or a request, that crashes engine after engine
+/// while it comes at any router, and against the refusal of sound requests that
 /// share their other parts.
 TEST_P(QuarantineFleetTest, WhatOneRouterLearnsTheOthersKnowInTime) {
   FleetWorld World(GetParam());
@@ -397,6 +484,13 @@
     Cases.push_back({"many_routers", 60, 180, 1500, 3, Seed});
     Cases.push_back({"fast_series", 24, 72, 600, 20, Seed});
     Cases.push_back({"sound_at_first", 4, 12, 150, 1, Seed, 20s});
+    Cases.push_back({"request", 4, 12, 150, 2, Seed, 0s, true});
+    Cases.push_back(
+        {"request_repeated", 4, 12, 150, 2, Seed, 0s, true, false, true});
+    Cases.push_back(
+        {"plain_request", 4, 4, 20, 0.4, Seed, 0s, true, true, true});
+    Cases.push_back(
+        {"plain_request_many", 100, 80, 500, 5, Seed, 0s, true, true, true});
   }
   return Cases;
 }
