Test the bound on reads of one connection in a turn of the loop

OriginClientTest.OneConnectionLeavesTheOthersTheirTurn: with the bound at 1,000,000 reads, 3.4 MB of one connection are read in one turn, 0.5 MB allowed.

--- a/libs/net/test/origin-client-test.cpp
+++ b/libs/net/test/origin-client-test.cpp
@@ -4,13 +4,16 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <ostream>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 using namespace camphorwind::base;
@@ -361,4 +364,35 @@
                     "X-A: a\r\n"}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against one connection that keeps the loop from all others for as
+/// long as its peer has sent ahead.
+TEST_F(OriginClientTest, OneConnectionLeavesTheOthersTheirTurn) {
+  listen(
+      {{"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\n", Then::Keep, false, "body"}});
+  std::size_t InOneTurn = 0;
+  std::size_t Most = 0;
+  OriginCallId Call = 0;
+  OriginEvents Events;
+  Events.OnHead_ = [](const OriginHead &) { return HeadVerdict::Accept; };
+  Events.OnBody_ = [&](std::string_view Data) {
+    if (InOneTurn == 0)
+      Owner_->post([&] { Most = std::max(Most, std::exchange(InOneTurn, 0)); });
+    InOneTurn += Data.size();
+  };
+  Events.OnEnd_ = [](const Result<void, OriginError> &) {};
+  Call = Client_->start(request(), std::move(Events));
+  settle();
+  // The peer goes on until the buffers of the system are full.
+  Client_->setReading(Call, false);
+  for (int Wait = 0; Wait < 10; ++Wait)
+    settle();
+  Most = 0;
+  Client_->setReading(Call, true);
+  settle();
+  constexpr std::size_t MaxBytes = 512UL * 1024;
+  EXPECT_GT(Most, 0u);
+  EXPECT_LE(Most, MaxBytes);
+  Client_->cancel(Call);
+}
+
 } // namespace
