Tests: addresses that no other test process can take

Tests looked for an unused port on 127.0.0.1, closed it and started a router there. Another process could take the port meanwhile, and two calls could return the same one; the router did not start, and the test ended with an assertion or a crash.

Each process now has a loopback address of its own, and no port is returned twice.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1,6 +1,7 @@
 #include "direct-router.h"
 
 #include "fake-table.h"
+#include "free-address.h"
 #include "scripted-peer.h"
 
 #include "camphorwind/net/http-server.h"
@@ -215,8 +216,8 @@
     DirectSettings Settings;
     Settings.Router_ = EscrowOptions.Router_;
     Settings.Domain_ = base::FailureDomainId("here");
-    Settings.Listen_ = freeAddress();
-    Settings.ReadinessListen_ = freeAddress();
+    Settings.Listen_ = net::test::freeAddress();
+    Settings.ReadinessListen_ = net::test::freeAddress();
     Settings.DrainDelay_ = DrainDelay;
     Settings.ShutdownTimeout_ = 2s;
     Listen_ = Settings.Listen_;
@@ -228,12 +229,6 @@
                       .value());
   }
 
-  /// Returns an address with a port that is currently unused.
-  static base::Address freeAddress() {
-    auto Socket = net::listenOn({"127.0.0.1", 0});
-    return net::localAddress(Socket.value().fd()).value();
-  }
-
   void configure(RequestKind Kind, bool Resumable = false,
                  std::chrono::milliseconds RouteTimeout = 3000ms) {
     auto Result = std::make_shared<View>();
--- a/daemons/direct/test/token-loans-test.cpp
+++ b/daemons/direct/test/token-loans-test.cpp
@@ -1,8 +1,7 @@
 #include "token-loans.h"
 
 #include "fake-table.h"
-
-#include "camphorwind/net/socket.h"
+#include "free-address.h"
 
 #include <gtest/gtest.h>
 
@@ -23,15 +22,11 @@
 constexpr std::int64_t Prepaid = 1'000'000;
 constexpr auto TableClock = 5'000'000ms;
 
-base::Address freeAddress() {
-  auto Socket = net::listenOn({"127.0.0.1", 0});
-  return net::localAddress(Socket.value().fd()).value();
-}
-
 /// A router's slices and loans, without callers and endpoints.
 struct Node {
   Node(net::Loop &EventLoop, const std::string &Name)
-      : Listen_(freeAddress()), Slices_(makeEscrow(Name, EventLoop.now())) {
+      : Listen_(net::test::freeAddress()),
+        Slices_(makeEscrow(Name, EventLoop.now())) {
     Slices_.setBudget(Shop, Tokens(Prepaid));
     Loans_ = std::move(
         TokenLoans::create(EventLoop, Slices_, Metrics_, Listen_).value());
