Count each crash under a request, also those within 250 ms

The spacing is for lost hosts, which end engines together whatever they answer. Copies of one request are hardly ever in flight at all of them, so for a request every crash counts. The mark for crashes under a router's repeat, which went round the same spacing, is not needed any more and is gone from the reports.

--- a/daemons/direct/crash-reports.cpp
+++ b/daemons/direct/crash-reports.cpp
@@ -7,7 +7,6 @@
 #include <charconv>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace camphorwind::direct {
@@ -21,7 +20,6 @@
 constexpr const char *CrashField = "crash";
 constexpr const char *PartsField = "parts";
 constexpr const char *RequestsField = "requests";
-constexpr const char *RepeatedField = "repeated";
 constexpr const char *SoundField = "sound";
 constexpr const char *SoundRequestField = "sound_request";
 constexpr const char *CrashesField = "crashes";
@@ -86,9 +84,8 @@
                                               base::TimePoint At) {
   auto Parts = idsFrom(Object, PartsField);
   auto Requests = idsFrom(Object, RequestsField);
-  auto Repeated = idsFrom(Object, RepeatedField);
   if (!Object[CrashField].is_string() || !Object.contains(PartsField) ||
-      !Parts || !Requests || !Repeated)
+      !Parts || !Requests)
     return std::nullopt;
   routing::CrashReport Report;
   Report.Crash_ = Object[CrashField].get<std::string>();
@@ -97,10 +94,6 @@
     Report.Suspects_.push_back({Suspect::Kind::PromptPart, Each});
   for (std::uint64_t Each : *Requests)
     Report.Suspects_.push_back({Suspect::Kind::Request, Each});
-  std::set<std::uint64_t> IsRepeated(Repeated->begin(), Repeated->end());
-  for (const Suspect &Each : Report.Suspects_)
-    if (IsRepeated.contains(Each.Id_))
-      Report.Repeated_.push_back(Each);
   return Report;
 }
 
@@ -134,15 +127,11 @@
                                           const ClockReading &Clock) {
   std::vector<CrashReportRow> Rows;
   for (const routing::CrashReport &Each : Reports.Crashes_) {
-    Json Repeated = Json::array();
-    for (const Suspect &One : Each.Repeated_)
-      Repeated.push_back(toHex(One.Id_));
     Rows.push_back(
         {fmt::format("crash/{}/{}", Each.Crash_, Router.str()),
          Json{{CrashField, Each.Crash_},
               {PartsField, idsOf(Each.Suspects_, Suspect::Kind::PromptPart)},
               {RequestsField, idsOf(Each.Suspects_, Suspect::Kind::Request)},
-              {RepeatedField, std::move(Repeated)},
               {TimeField, timeOfDay(Each.At_, Clock)}}
              .dump()});
   }
--- a/daemons/direct/crash-reports.h
+++ b/daemons/direct/crash-reports.h
@@ -40,7 +40,7 @@
 ///
 ///     crash/START/ROUTER
 ///         {"crash": START, "parts": [HEX...], "requests": [HEX...],
-///          "repeated": [HEX...], "at_ms": TIME}
+///          "at_ms": TIME}
 ///     sound/HEX/ROUTER/TIME
 ///         {"sound": HEX, "crashes": [START...], "at_ms": TIME}
 ///     sound-request/HEX/ROUTER/TIME
@@ -52,7 +52,7 @@
                                           const ClockReading &Clock);
 /// Appends the report of a row to \p Reports. Returns false, and appends
 /// nothing, if the row can't be parsed. A time in the future counts as now.
-/// "requests" and "repeated" may be absent.
+/// "requests" may be absent.
 bool decodeReport(std::string_view Value, const ClockReading &Clock,
                   CrashReports &Reports);
 
--- a/daemons/direct/crash-watch.cpp
+++ b/daemons/direct/crash-watch.cpp
@@ -29,16 +29,14 @@
         Watcher_(EventLoop, std::move(OnReady)) {}
 
   ListedEndpoint Endpoint_;
-  /// Whether each suspect was repeated at this endpoint.
-  std::map<routing::Suspect, bool> Suspects_;
+  std::set<routing::Suspect> Suspects_;
   net::Socket Socket_;
   net::Timer Timer_;
   net::FdWatcher Watcher_;
 };
 
 void CrashWatch::attemptBroken(const ListedEndpoint &Endpoint,
-                               const std::vector<routing::Suspect> &Suspects,
-                               bool Repeated) {
+                               const std::vector<routing::Suspect> &Suspects) {
   std::string Id = startName(Endpoint);
   auto Found = Open_.find(Id);
   if (Found == Open_.end()) {
@@ -57,13 +55,9 @@
     Found->second->Endpoint_ = Endpoint;
     Found->second->Timer_.start(ConnectDelay);
   }
-  auto &Known = Found->second->Suspects_;
-  for (const routing::Suspect &Each : Suspects) {
-    if (Known.size() == MaxSuspects)
-      break;
-    bool &WasRepeated = Known[Each];
-    WasRepeated = WasRepeated || Repeated;
-  }
+  for (const routing::Suspect &Each : Suspects)
+    if (Found->second->Suspects_.size() < MaxSuspects)
+      Found->second->Suspects_.insert(Each);
 }
 
 void CrashWatch::connect(const std::string &Id) {
@@ -86,21 +80,13 @@
   Ended->Watcher_.stop();
   Ended->Socket_.close();
   if (Refused)
-    OnCrash_(Ended->Endpoint_, makeReport(*Ended));
+    OnCrash_(
+        Ended->Endpoint_,
+        {Id, {Ended->Suspects_.begin(), Ended->Suspects_.end()}, Loop_.now()});
   // Its own callback may be running.
   Loop_.post([Ended = std::move(Ended)] {});
 }
 
-routing::CrashReport CrashWatch::makeReport(const Inquiry &Ended) const {
-  routing::CrashReport Report{startName(Ended.Endpoint_), {}, Loop_.now(), {}};
-  for (const auto &[Suspect, Repeated] : Ended.Suspects_) {
-    Report.Suspects_.push_back(Suspect);
-    if (Repeated)
-      Report.Repeated_.push_back(Suspect);
-  }
-  return Report;
-}
-
 std::string startName(const ListedEndpoint &Endpoint) {
   return Endpoint.Endpoint_.str() + "/" + Endpoint.StartId_;
 }
--- a/daemons/direct/crash-watch.h
+++ b/daemons/direct/crash-watch.h
@@ -30,18 +30,15 @@
       : Loop_(EventLoop), OnCrash_(std::move(Callback)) {}
 
   /// Checks the endpoint of an attempt that broke. \p Suspects are what may
-  /// have caused a crash; \p Repeated says that they had been in flight at
-  /// another endpoint, where the attempt before broke.
+  /// have caused a crash.
   void attemptBroken(const ListedEndpoint &Endpoint,
-                     const std::vector<routing::Suspect> &Suspects,
-                     bool Repeated);
+                     const std::vector<routing::Suspect> &Suspects);
 
 private:
   struct Inquiry;
 
   void connect(const std::string &Id);
   void finish(const std::string &Id, bool Refused);
-  routing::CrashReport makeReport(const Inquiry &Ended) const;
 
   net::Loop &Loop_;
   OnCrash OnCrash_;
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -595,8 +595,7 @@
     return;
   Context_.Crashes_.attemptBroken(
       Attempt_.Target_,
-      Context_.Quarantine_.blamable(Suspects_, Context_.Loop_.now()),
-      std::exchange(BrokeBefore_, true));
+      Context_.Quarantine_.blamable(Suspects_, Context_.Loop_.now()));
 }
 
 void ForwardedRequest::recordSuccess() {
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -168,8 +168,6 @@
   std::uint64_t Fingerprint_ = 0;
   /// What of this request may crash endpoints.
   std::vector<routing::Suspect> Suspects_;
-  /// Whether the connection of an earlier attempt broke.
-  bool BrokeBefore_ = false;
   base::TimePoint ArrivedAt_{};
   /// The earlier of CallerDeadline_ and the route's timeout.
   base::TimePoint Deadline_{};
--- a/daemons/direct/test/crash-reports-test.cpp
+++ b/daemons/direct/test/crash-reports-test.cpp
@@ -25,8 +25,7 @@
                     {{Kind::PromptPart, 0xab},
                      {Kind::PromptPart, 0xffffffffffffffff},
                      {Kind::Request, 0x12}},
-                    base::TimePoint(8s),
-                    {{Kind::Request, 0x12}}}};
+                    base::TimePoint(8s)}};
   Sent.Sound_ = {
       {{Kind::PromptPart, 0xcd}, {"i-1/5", "i-2/"}, base::TimePoint(9s)},
       {{Kind::Request, 0x12}, {"i-1/5"}, base::TimePoint(9s)}};
@@ -42,7 +41,6 @@
   ASSERT_EQ(Received.Crashes_.size(), 1u);
   EXPECT_EQ(Received.Crashes_[0].Crash_, "i-1/5");
   EXPECT_EQ(Received.Crashes_[0].Suspects_, Sent.Crashes_[0].Suspects_);
-  EXPECT_EQ(Received.Crashes_[0].Repeated_, Sent.Crashes_[0].Repeated_);
   // 2 s old when it was written, and 3 s by the time of day since then.
   EXPECT_EQ(Received.Crashes_[0].At_, base::TimePoint(495s));
   ASSERT_EQ(Received.Sound_.size(), 2u);
@@ -53,13 +51,12 @@
 }
 
 /// Guards against rows of routers of an earlier version that can't be read.
-TEST(CrashReportsTest, RequestsAndRepeatsMayBeAbsent) {
+TEST(CrashReportsTest, RequestsMayBeAbsent) {
   CrashReports Read;
   EXPECT_TRUE(decodeReport(R"({"crash": "i", "parts": ["a"], "at_ms": 1})",
                            clockAt(100s, 20'000ms), Read));
   ASSERT_EQ(Read.Crashes_.size(), 1u);
   EXPECT_EQ(Read.Crashes_[0].Suspects_.size(), 1u);
-  EXPECT_TRUE(Read.Crashes_[0].Repeated_.empty());
 }
 
 struct TimeCase {
@@ -128,8 +125,6 @@
         RowCase{
             "request_no_hex",
             R"({"crash": "i", "parts": [], "requests": ["x"], "at_ms": 1})"},
-        RowCase{"repeated_number",
-                R"({"crash": "i", "parts": [], "repeated": [1], "at_ms": 1})"},
         RowCase{"sound_request_number",
                 R"({"sound_request": 1, "crashes": [], "at_ms": 1})"},
         RowCase{"sound_number", R"({"sound": 1, "crashes": [], "at_ms": 1})"},
--- a/daemons/direct/test/crash-watch-test.cpp
+++ b/daemons/direct/test/crash-watch-test.cpp
@@ -58,8 +58,8 @@
   constexpr routing::Suspect Request{routing::Suspect::Kind::Request, 3};
   constexpr routing::Suspect Part{routing::Suspect::Kind::PromptPart, 1};
   constexpr routing::Suspect Other{routing::Suspect::Kind::PromptPart, 2};
-  Watch.attemptBroken(Endpoint, {Request, Part}, true);
-  Watch.attemptBroken(Endpoint, {Part, Other}, false);
+  Watch.attemptBroken(Endpoint, {Request, Part});
+  Watch.attemptBroken(Endpoint, {Part, Other});
   wait(500ms);
   if (!GetParam().Crashed_) {
     EXPECT_TRUE(Crashes.empty());
@@ -69,8 +69,6 @@
   EXPECT_EQ(Crashes[0].Crash_, "i-1/7");
   EXPECT_EQ(Crashes[0].Suspects_,
             (std::vector<routing::Suspect>{Part, Other, Request}));
-  EXPECT_EQ(Crashes[0].Repeated_,
-            (std::vector<routing::Suspect>{Part, Request}));
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/libs/routing/include/camphorwind/routing/quarantine.h
+++ b/libs/routing/include/camphorwind/routing/quarantine.h
@@ -49,9 +49,9 @@
   std::size_t QuarantineLimit_ = 3;
   /// Number of crashes from which requests with the suspect are not repeated.
   std::size_t RepeatLimit_ = 2;
-  /// Crashes this close to one another count as one: a lost host or a failed
-  /// rollout ends several engines at once, whatever they were answering. A
-  /// crash under a request that is repeated because of the first one counts.
+  /// Crashes this close to one another count as one for a prompt part: a lost
+  /// host or a failed rollout ends several engines at once, whatever they were
+  /// answering. Copies of one request are hardly ever in flight at all of them.
   std::chrono::milliseconds CrashSpacing_{250};
   /// A suspect is not blamed for a crash this soon after a whole answer to a
   /// request with it. What crashes engines only from some moment on, such as
@@ -68,9 +68,6 @@
   std::string Crash_;
   std::vector<Suspect> Suspects_;
   base::TimePoint At_{};
-  /// Those of Suspects_ that were sent to the engine after they had been in
-  /// flight at another one that broke off.
-  std::vector<Suspect> Repeated_;
 };
 
 /// Crashes that a suspect has not caused, since a request with it was answered.
@@ -135,8 +132,7 @@
 private:
   struct Crash {
     base::TimePoint At_{};
-    /// Whether each suspect was repeated at this engine after another crash.
-    std::map<Suspect, bool> Suspects_;
+    std::set<Suspect> Suspects_;
   };
   /// Crashes attributed to a suspect, before any is attributed to another.
   struct Blame {
--- a/libs/routing/src/quarantine.cpp
+++ b/libs/routing/src/quarantine.cpp
@@ -67,11 +67,7 @@
     Entry.At_ = Report.At_;
   for (const Suspect &Each : Report.Suspects_)
     if (!Acquitted_.contains({Each, Report.Crash_}))
-      Entry.Suspects_.emplace(Each, false);
-  for (const Suspect &Each : Report.Repeated_)
-    if (auto Repeated = Entry.Suspects_.find(Each);
-        Repeated != Entry.Suspects_.end())
-      Repeated->second = true;
+      Entry.Suspects_.insert(Each);
   Changed_ = true;
   if (Crashes_.size() > MaxCrashes)
     dropOldestCrash();
@@ -84,7 +80,7 @@
 bool Quarantine::isExplained(const Crash &Entry, const Blames &Blamed) {
   return std::any_of(
       Entry.Suspects_.begin(), Entry.Suspects_.end(),
-      [&](const auto &Each) { return Blamed.contains(Each.first); });
+      [&](const Suspect &Each) { return Blamed.contains(Each); });
 }
 
 void Quarantine::dropOldestCrash() {
@@ -136,26 +132,22 @@
 
 Quarantine::Blames
 Quarantine::countCrashes(const std::set<std::string> &Explained) const {
-  struct Occurrence {
-    base::TimePoint At_{};
-    bool Repeated_ = false;
-    auto operator<=>(const Occurrence &) const = default;
-  };
-  std::map<Suspect, std::vector<Occurrence>> Occurrences;
+  std::map<Suspect, std::vector<base::TimePoint>> CrashTimes;
   for (const auto &[Id, Each] : Crashes_)
     if (!Explained.contains(Id))
-      for (const auto &[One, Repeated] : Each.Suspects_)
-        Occurrences[One].push_back({Each.At_, Repeated});
+      for (const Suspect &One : Each.Suspects_)
+        CrashTimes[One].push_back(Each.At_);
   Blames Counted;
-  for (auto &[One, All] : Occurrences) {
+  for (auto &[One, All] : CrashTimes) {
+    bool IsSpaced = One.Kind_ == Suspect::Kind::PromptPart;
     std::sort(All.begin(), All.end());
     Blame &Result = Counted[One];
-    for (const Occurrence &Each : All) {
-      if (Result.Crashes_ > 0 && !Each.Repeated_ &&
-          Each.At_ - Result.LastAt_ < Options_.CrashSpacing_)
+    for (base::TimePoint Each : All) {
+      if (IsSpaced && Result.Crashes_ > 0 &&
+          Each - Result.LastAt_ < Options_.CrashSpacing_)
         continue;
       ++Result.Crashes_;
-      Result.LastAt_ = Each.At_;
+      Result.LastAt_ = Each;
     }
   }
   return Counted;
@@ -239,8 +231,8 @@
   });
   // A quarantine lasts until its last crash is forgotten, so the earlier ones
   // are kept until then.
-  auto IsNeeded = [&](const auto &Each) {
-    auto Found = Quarantined_.find(Each.first);
+  auto IsNeeded = [&](const Suspect &Each) {
+    auto Found = Quarantined_.find(Each);
     return Found != Quarantined_.end() &&
            Now - Found->second.LastAt_ <= Options_.Memory_;
   };
--- a/libs/routing/test/quarantine-test.cpp
+++ b/libs/routing/test/quarantine-test.cpp
@@ -49,8 +49,6 @@
 struct CrashStep {
   std::chrono::milliseconds At_;
   std::vector<Suspect> Suspects_;
-  /// Whether the suspects were repeated there after the crash before.
-  bool Repeated_ = false;
 };
 
 /// Crashes, and answers to requests with a part, seen by one router.
@@ -77,8 +75,7 @@
   base::TimePoint Now = at(0ms);
   for (const CrashStep &Each : Case.Crashes_) {
     Now = std::max(Now, at(Each.At_));
-    Tested.addCrash({std::to_string(++Number), Each.Suspects_, at(Each.At_),
-                     Each.Repeated_ ? Each.Suspects_ : std::vector<Suspect>()},
+    Tested.addCrash({std::to_string(++Number), Each.Suspects_, at(Each.At_)},
                     Now);
   }
   for (std::chrono::milliseconds Each : Case.NewAnsweredAt_)
@@ -166,15 +163,14 @@
                        true,
                        false,
                        true},
-        QuarantineCase{
-            "repeats_at_once",
-            {{0ms, {Deadly}}, {50ms, {Deadly}, true}, {100ms, {Deadly}, true}},
-            {},
-            false,
-            false,
-            true},
-        QuarantineCase{"copies_at_once",
-                       {{0ms, {Deadly}}, {50ms, {Deadly}}, {100ms, {Deadly}}}}),
+        QuarantineCase{"request_at_once",
+                       {{0ms, {Deadly, New}},
+                        {50ms, {Deadly, New}},
+                        {100ms, {Deadly, New}}},
+                       {},
+                       false,
+                       false,
+                       true}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
 TEST(QuarantineStateTest, LastPartOfAPromptIsNoSuspect) {
@@ -407,20 +403,13 @@
       KnownFrom_ = Now_;
     std::string Name = std::to_string(&Of - Engines_.data()) + "/" +
                        std::to_string(++Of.Starts_);
-    std::map<std::size_t, std::map<Suspect, bool>> Blamed;
+    std::map<std::size_t, std::set<Suspect>> Blamed;
     for (const Request &Each : Of.Running_)
       for (const Suspect &One :
-           Routers_[Each.Router_].blamable(Each.Suspects_, Now_)) {
-        bool &Repeated = Blamed[Each.Router_][One];
-        Repeated = Repeated || Each.Repeated_;
-      }
+           Routers_[Each.Router_].blamable(Each.Suspects_, Now_))
+        Blamed[Each.Router_].insert(One);
     for (const auto &[Router, Suspects] : Blamed) {
-      CrashReport Report{Name, {}, Now_, {}};
-      for (const auto &[One, Repeated] : Suspects) {
-        Report.Suspects_.push_back(One);
-        if (Repeated)
-          Report.Repeated_.push_back(One);
-      }
+      CrashReport Report{Name, {Suspects.begin(), Suspects.end()}, Now_};
       Routers_[Router].addCrash(Report, Now_);
       Messages_.push_back({Now_ + ReportDelay, Router, Report, {}});
     }
