Follow the callers with the turns of limited endpoints

With equal turns alone, one router of 300 that has all callers sends a 300th of what the endpoint takes. Routers now publish in their heartbeats to which limited endpoints they want to send, and share half of the turns of the others.

RequestLimitFleetTest, callers at one router of 300 (limits of 2 and 10 a second): at least 40% of the limit is used, a 300th before. Fleets with all routers claiming, a table that is away for 15 s, callers that come to all of 300 routers at once, with the table away as well, callers that move every 4 s and routers that start again stay within the bound.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -57,6 +57,24 @@
                           Escrow_.tableTime(Now) - Now.time_since_epoch(), Now);
 }
 
+void ForwardingContext::updateClaims() {
+  base::TimePoint Now = Loop_.now();
+  std::vector<std::string> Names;
+  for (auto &[Id, Pool] : Pools_) {
+    routing::RequestLimits &Limits = Pool.Selector_.requestLimits();
+    for (const base::EndpointId &Each : Limits.limited()) {
+      const ListedEndpoint *Listed = Endpoints_.find(Each);
+      if (!Listed || !Limits.isWanted(Each, Now)) {
+        Limits.setClaimants(Each, std::nullopt, Now);
+        continue;
+      }
+      Names.push_back(startName(*Listed));
+      Limits.setClaimants(Each, Claims_.place(Names.back(), Now), Now);
+    }
+  }
+  Escrow_.setNote(routing::LimitClaims::encode(Names));
+}
+
 void ForwardingContext::endpointLeaving(const base::EndpointId &Id) {
   Endpoints_.markLeaving(Id);
   applyEndpointChanges();
@@ -196,6 +214,7 @@
       Context_.Quarantine_.sweep(Now);
     }
     Context_.quarantineChanged();
+    Context_.updateClaims();
     logReadinessChange();
     if (Context_.Stopping_)
       continueStop(Now);
@@ -229,6 +248,11 @@
     }
     for (auto &[Id, Pool] : Context_.Pools_)
       Context_.setPlace(Pool);
+    if (auto ReadAt = Context_.Escrow_.countedAt(); ReadAt != ClaimsReadAt_) {
+      ClaimsReadAt_ = ReadAt;
+      Context_.Claims_.read(Context_.Escrow_.notes(),
+                            Context_.Settings_.Router_.str(), *ReadAt);
+    }
     for (const auto &Each : Context_.openRequests())
       Each->retryReservation();
     logReadinessChange();
@@ -270,6 +294,7 @@
   std::unique_ptr<net::HttpServer> ReadinessServer_;
   net::Timer Tick_;
   std::size_t Routers_ = 1;
+  std::optional<base::TimePoint> ClaimsReadAt_;
   base::TimePoint QuarantineSweptAt_{};
   bool LoggedReady_ = false;
   base::TimePoint StopRequestedAt_{};
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -13,6 +13,7 @@
 #include "camphorwind/net/origin-client.h"
 #include "camphorwind/observe/metrics.h"
 #include "camphorwind/routing/direct-pool.h"
+#include "camphorwind/routing/limit-claims.h"
 #include "camphorwind/routing/quarantine.h"
 #include "camphorwind/routing/retry-window.h"
 
@@ -54,6 +55,9 @@
   PoolState &poolState(const base::PoolId &Id);
   /// Tells the pool this router's place in the fleet and the table's clock.
   void setPlace(PoolState &Pool);
+  /// Publishes to which endpoints with request limits this router wants to
+  /// send, and takes over what the others have published.
+  void updateClaims();
   /// Sends no more requests to an endpoint that states that it is about to shut
   /// down. Requests that it has already received go on.
   void endpointLeaving(const base::EndpointId &Id);
@@ -88,6 +92,7 @@
   budget::Escrow Escrow_;
   /// Null if this router takes part in no loans.
   std::unique_ptr<TokenLoans> Loans_;
+  routing::LimitClaims Claims_;
   routing::Quarantine Quarantine_;
   CrashWatch Crashes_;
   /// Reports for other routers that nobody has taken yet.
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -956,6 +956,21 @@
                     RequestLimitCase{"nothing", 0}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+TEST_F(DirectRouterTest, RouterClaimsTurnsOfEndpointsThatItWantsToUse) {
+  configure(RequestKind::Idempotent);
+  FakeEndpoint &Limited = addEndpoint();
+  Limited.RequestLimit_ = "0.5";
+  fetch(makeCall());
+  wait(100ms);
+  syncBudgets();
+  EXPECT_EQ(Router_->escrow().notes().at("r"), "");
+  fetch(makeCall());
+  wait(100ms);
+  syncBudgets();
+  syncBudgets();
+  EXPECT_EQ(Router_->escrow().notes().at("r"), "e1/");
+}
+
 TEST_F(DirectRouterTest, BrokenStreamWithoutAnotherEndpointEndsAtOnce) {
   configure(RequestKind::Stream, true);
   addEndpoint({EndpointBehavior::TruncatedStream});
--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -209,6 +210,14 @@
   std::size_t routerCount() const;
   /// Number of these routers whose name sorts before this one's.
   std::size_t routerIndex() const;
+  /// When the rows were last read; unset before the first time.
+  std::optional<base::TimePoint> countedAt() const;
+  /// Sets a text that other routers read with this one's heartbeat. A change is
+  /// written at once.
+  void setNote(std::string Note);
+  /// Texts of the counted routers by name, also of this one if its heartbeat is
+  /// recent, as of the last read of the rows.
+  const std::map<std::string, std::string> &notes() const;
   /// Lower bound of the table's clock, which never decreases.
   std::chrono::milliseconds tableTime(base::TimePoint Now) const;
   EscrowStatus status(const base::AccountId &Account,
--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -118,7 +118,8 @@
 std::string encodePresence(const Presence &Value) {
   return Json{{"at", Value.At_.count()},
               {"address", Value.Address_},
-              {"loans", Value.LoanAddress_}}
+              {"loans", Value.LoanAddress_},
+              {"note", Value.Note_}}
       .dump();
 }
 
@@ -134,7 +135,7 @@
                : std::string();
   };
   return Presence{std::chrono::milliseconds(*At), TextOf("address"),
-                  TextOf("loans")};
+                  TextOf("loans"), TextOf("note")};
 }
 
 } // namespace camphorwind::budget::detail
--- a/libs/budget/src/escrow-rows.h
+++ b/libs/budget/src/escrow-rows.h
@@ -84,6 +84,8 @@
   std::string Address_;
   /// Address for requests for loans; empty if the router lends nothing.
   std::string LoanAddress_;
+  /// See Escrow::setNote().
+  std::string Note_;
 };
 std::string encodePresence(const Presence &Value);
 std::optional<Presence> decodePresence(std::string_view Text);
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -585,11 +585,17 @@
       Change.Writes_.push_back(
           {std::move(Presence),
            detail::encodePresence({tableTime(Now), Settings_.PeerAddress_,
-                                   Settings_.LoanAddress_})});
+                                   Settings_.LoanAddress_, Note_})});
+    SentNote_ = Note_;
+  }
+
+  bool isHeartbeatDue(base::TimePoint Now) const {
+    return !Closing_ &&
+           (Now - LastWriteAt_ >= PresenceInterval || Note_ != SentNote_);
   }
 
   std::optional<base::Transaction> heartbeatIfDue(base::TimePoint Now) {
-    if (Closing_ || Now - LastWriteAt_ < PresenceInterval)
+    if (!isHeartbeatDue(Now))
       return std::nullopt;
     base::Transaction Change;
     addHeartbeat(Change, Now);
@@ -813,9 +819,7 @@
         addAccount(Account, State, Change, Grants ? grantDelta(State, Now) : 0,
                    Now);
     }
-    bool HeartbeatDue =
-        !Closing_ && !Grants && Now - LastWriteAt_ >= PresenceInterval;
-    if (PendingAccounts_.empty() && !HeartbeatDue)
+    if (PendingAccounts_.empty() && (Grants || !isHeartbeatDue(Now)))
       return std::nullopt;
     addHeartbeat(Change, Now);
     return Change;
@@ -1048,6 +1052,7 @@
         CountedAt_ ? Now - *CountedAt_ + PresenceTimeout : MaxCopyAge;
     CountedAt_ = Now;
     std::map<std::string, base::TimePoint> Awaited;
+    Notes_.clear();
     // While slices are being written again, the routers that ran at the restore
     // count, also those that have not been heard since.
     if (!Restating_ && RowsInEra_)
@@ -1063,6 +1068,9 @@
         Awaited.emplace(Each.Key_, Now + PresenceTimeout);
       else if (!Alive && IsAwaited)
         Awaited.emplace(Each.Key_, Until->second);
+      if (Seen && (Alive || (!Own && Awaited.contains(Each.Key_))))
+        Notes_.emplace(Each.Key_.substr(RouterPrefix.size()),
+                       std::move(Seen->Note_));
       if (!Own && (Alive || Awaited.contains(Each.Key_))) {
         ++Routers;
         if (Each.Key_ < detail::routerKey(Settings_.Router_))
@@ -1108,6 +1116,11 @@
   std::size_t Routers_ = Settings_.ExpectedRouters_;
   /// Number of counted routers whose name sorts before this one's.
   std::size_t RoutersBefore_ = 0;
+  /// Notes of the counted routers, by name.
+  std::map<std::string, std::string> Notes_;
+  std::string Note_;
+  /// The note in the last heartbeat that was sent.
+  std::string SentNote_;
   /// When the routers were last counted.
   std::optional<base::TimePoint> CountedAt_;
   /// Routers, by row key, that are counted until this time although their
@@ -1403,6 +1416,16 @@
 
 std::size_t Escrow::routerCount() const { return Impl_->Routers_; }
 
+void Escrow::setNote(std::string Note) { Impl_->Note_ = std::move(Note); }
+
+const std::map<std::string, std::string> &Escrow::notes() const {
+  return Impl_->Notes_;
+}
+
+std::optional<base::TimePoint> Escrow::countedAt() const {
+  return Impl_->CountedAt_;
+}
+
 std::size_t Escrow::routerIndex() const { return Impl_->RoutersBefore_; }
 
 std::chrono::milliseconds Escrow::tableTime(base::TimePoint Now) const {
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -847,6 +847,18 @@
   expectPlaces(Hosts);
 }
 
+TEST_F(RouterCountTest, NotesReachTheOthersAtOnce) {
+  World_.runWithoutFaults(4s);
+  World_.host(3).Escrow_->setNote("e-1 e-2");
+  World_.runWithoutFaults(1s);
+  for (std::size_t Index : {0, 3, 7}) {
+    const auto &Notes = World_.host(Index).Escrow_->notes();
+    ASSERT_EQ(Notes.size(), Hosts);
+    EXPECT_EQ(Notes.at("h3"), "e-1 e-2");
+    EXPECT_EQ(Notes.at("h4"), "");
+  }
+}
+
 TEST_F(RouterCountTest, ARouterThatIsGoneCountsNoLonger) {
   World_.runWithoutFaults(4s);
   World_.advance(15s);
--- a/libs/routing/include/camphorwind/routing/request-limits.h
+++ b/libs/routing/include/camphorwind/routing/request-limits.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace camphorwind::routing {
 
@@ -68,9 +69,20 @@
 /// The limits that endpoints have stated on the requests that they take from
 /// all routers together.
 ///
+/// Each router has an equal part of the limit, whatever it knows of the others.
+/// Routers with requests for the endpoint share half of the turns of those that
+/// have none, as far as they know of each other: callers may sit at few
+/// routers. The other half is left for routers that get requests before the
+/// others know.
+///
 /// No call does I/O. Endpoints without a limit are admitted always.
 class RequestLimits {
 public:
+  /// Part of other routers' unused turns that is used.
+  static constexpr double AdoptedShare = 0.5;
+  /// Time after the last request that could have gone to an endpoint for which
+  /// this router wants to send there.
+  static constexpr std::chrono::milliseconds WantTime{5000};
   /// Rate that counts where an endpoint takes less: without any request, its
   /// answers would never show that the limit has ended.
   static constexpr double MinPerSecond = 0.1;
@@ -90,6 +102,17 @@
   /// Forgets the limit of an endpoint that has started again.
   void forget(const base::EndpointId &Endpoint) { Limits_.erase(Endpoint); }
 
+  /// Records a request that could go to the endpoint.
+  void want(const base::EndpointId &Endpoint, base::TimePoint Now);
+  /// Returns the endpoints with limits.
+  std::vector<base::EndpointId> limited() const;
+  /// Whether this router wants to send to the endpoint, which has a limit.
+  bool isWanted(const base::EndpointId &Endpoint, base::TimePoint Now) const;
+  /// Sets the place of this router among those that want to send to the
+  /// endpoint and know of each other; nothing if they do not.
+  void setClaimants(const base::EndpointId &Endpoint,
+                    std::optional<FleetPlace> Claimants, base::TimePoint Now);
+
   /// Returns the time until this router may send to the endpoint; 0 for now.
   base::Duration wait(const base::EndpointId &Endpoint,
                       base::TimePoint Now) const;
@@ -100,7 +123,12 @@
   struct Limit {
     double PerSecond_ = 0;
     base::TimePoint StatedAt_{};
+    std::optional<base::TimePoint> WantedAt_;
+    std::optional<FleetPlace> Claimants_;
     TurnSchedule Turns_;
+    /// Turns of routers that do not use theirs; only while IsAdopting_.
+    TurnSchedule Adopted_;
+    bool IsAdopting_ = false;
   };
 
   void schedule(const base::EndpointId &Endpoint, Limit &Stated,
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -409,6 +409,7 @@
   std::optional<Impl::Candidate> BestUnusable;
   std::optional<base::TimePoint> HeldOffUntil;
   for (auto &[Id, Each] : Impl_->Endpoints_) {
+    Impl_->Limits_.want(Id, Now);
     if (auto Until = Impl_->heldOffUntil(Id, Now)) {
       HeldOffUntil = std::min(HeldOffUntil.value_or(*Until), *Until);
       continue;
--- a/libs/routing/src/request-limits.cpp
+++ b/libs/routing/src/request-limits.cpp
@@ -75,8 +75,18 @@
 
 void RequestLimits::schedule(const base::EndpointId &Endpoint, Limit &Stated,
                              base::TimePoint Now) const {
-  Stated.Turns_.set(std::clamp(Stated.PerSecond_, MinPerSecond, MaxPerSecond),
-                    Place_, phaseOf(Endpoint), fleetTime(Now));
+  double PerSecond = std::clamp(Stated.PerSecond_, MinPerSecond, MaxPerSecond);
+  FleetTime Time = fleetTime(Now);
+  Stated.Turns_.set(PerSecond, Place_, phaseOf(Endpoint), Time);
+  Stated.IsAdopting_ =
+      Stated.Claimants_ && Stated.Claimants_->Routers_ < Place_.Routers_;
+  if (!Stated.IsAdopting_)
+    return;
+  auto Idle =
+      static_cast<double>(Place_.Routers_ - Stated.Claimants_->Routers_) /
+      static_cast<double>(Place_.Routers_);
+  Stated.Adopted_.set(AdoptedShare * Idle * PerSecond, *Stated.Claimants_,
+                      phaseOf(Endpoint), Time);
 }
 
 bool RequestLimits::state(const base::EndpointId &Endpoint, double PerSecond,
@@ -103,14 +113,58 @@
   auto Found = Limits_.find(Endpoint);
   if (Found == Limits_.end())
     return base::Duration::zero();
-  return Found->second.Turns_.wait(fleetTime(Now));
+  const Limit &Stated = Found->second;
+  base::Duration Wait = Stated.Turns_.wait(fleetTime(Now));
+  if (Stated.IsAdopting_)
+    Wait = std::min(Wait, Stated.Adopted_.wait(fleetTime(Now)));
+  return Wait;
 }
 
-void RequestLimits::sent(const base::EndpointId &Endpoint,
+void RequestLimits::want(const base::EndpointId &Endpoint,
                          base::TimePoint Now) {
   auto Found = Limits_.find(Endpoint);
   if (Found != Limits_.end())
-    Found->second.Turns_.take(fleetTime(Now));
+    Found->second.WantedAt_ = Now;
+}
+
+std::vector<base::EndpointId> RequestLimits::limited() const {
+  std::vector<base::EndpointId> Found;
+  for (const auto &[Endpoint, Stated] : Limits_)
+    Found.push_back(Endpoint);
+  std::sort(Found.begin(), Found.end());
+  return Found;
+}
+
+bool RequestLimits::isWanted(const base::EndpointId &Endpoint,
+                             base::TimePoint Now) const {
+  auto Found = Limits_.find(Endpoint);
+  return Found != Limits_.end() && Found->second.WantedAt_ &&
+         Now - *Found->second.WantedAt_ < WantTime;
+}
+
+void RequestLimits::setClaimants(const base::EndpointId &Endpoint,
+                                 std::optional<FleetPlace> Claimants,
+                                 base::TimePoint Now) {
+  auto Found = Limits_.find(Endpoint);
+  if (Found == Limits_.end() || Found->second.Claimants_ == Claimants)
+    return;
+  Found->second.Claimants_ = Claimants;
+  schedule(Endpoint, Found->second, Now);
+}
+
+void RequestLimits::sent(const base::EndpointId &Endpoint,
+                         base::TimePoint Now) {
+  auto Found = Limits_.find(Endpoint);
+  if (Found == Limits_.end())
+    return;
+  Limit &Stated = Found->second;
+  FleetTime Time = fleetTime(Now);
+  bool IsOwnTurn = Stated.Turns_.wait(Time) == base::Duration::zero();
+  if (!IsOwnTurn && Stated.IsAdopting_ &&
+      Stated.Adopted_.wait(Time) == base::Duration::zero())
+    Stated.Adopted_.take(Time);
+  else
+    Stated.Turns_.take(Time);
 }
 
 } // namespace camphorwind::routing
--- a/libs/routing/test/request-limits-test.cpp
+++ b/libs/routing/test/request-limits-test.cpp
@@ -1,13 +1,14 @@
 #include "camphorwind/routing/request-limits.h"
 
-#include "camphorwind/base/random.h"
+#include "camphorwind/routing/limit-claims.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <cstddef>
 #include <deque>
-#include <functional>
+#include <map>
+#include <optional>
 #include <ostream>
 #include <random>
 #include <string>
@@ -56,6 +57,15 @@
   milliseconds QuietUntil_ = 0ms;
   /// Least share of what the endpoint takes that it has to get.
   double LeastShare_ = 0;
+  /// Routers claim turns in a table that all of them read.
+  bool Claims_ = false;
+  /// When the table is away, counted from the first statement.
+  milliseconds AwayFrom_ = 0ms;
+  milliseconds AwayUntil_ = 0ms;
+  /// From this time on all routers have callers; never if 0.
+  milliseconds AllHaveCallersFrom_ = 0ms;
+  /// Interval at which the callers move to the next routers; 0 for none.
+  milliseconds MoveInterval_ = 0ms;
 };
 
 std::ostream &operator<<(std::ostream &Out, const FleetCase &Value) {
@@ -70,16 +80,23 @@
   Fleet(const FleetCase &Case, unsigned Seed) : Case_(Case), Random_(Seed) {
     for (std::size_t Index = 0; Index < Case.Routers_; ++Index)
       addRouter();
-    for (Router &Each : Routers_)
+    for (Router &Each : Routers_) {
       Each.Limits_.setPlace(Each.Place_, Each.ClockOffset_, Start);
+      Each.NextRead_ =
+          Start + milliseconds(static_cast<int>(draw(0, ReadInterval.count())));
+    }
   }
 
   void run(milliseconds Length) {
     for (milliseconds Elapsed = 0ms; Elapsed < Length; Elapsed += Step) {
       Now_ = Start + Elapsed;
       change(Elapsed);
-      for (std::size_t Index = 0; Index < Routers_.size(); ++Index)
+      bool IsAway = Elapsed >= Case_.AwayFrom_ && Elapsed < Case_.AwayUntil_;
+      for (std::size_t Index = 0; Index < Routers_.size(); ++Index) {
+        if (Case_.Claims_)
+          exchangeClaims(Routers_[Index], IsAway);
         step(Routers_[Index], Index, Elapsed);
+      }
     }
   }
 
@@ -108,6 +125,9 @@
     FleetTime ClockOffset_{0};
     std::optional<base::TimePoint> ToldAt_;
     std::deque<base::TimePoint> Answers_;
+    LimitClaims Claims_;
+    bool IsClaiming_ = false;
+    base::TimePoint NextRead_{};
     /// Place that the router learns of at this time.
     std::deque<std::pair<base::TimePoint, FleetPlace>> News_;
   };
@@ -133,6 +153,7 @@
       Restarted.Limits_ = RequestLimits();
       Restarted.Limits_.setPlace(Restarted.Place_, Restarted.ClockOffset_,
                                  Now_);
+      Restarted.Claims_ = LimitClaims();
       Restarted.ToldAt_.reset();
       Restarted.Answers_.clear();
     }
@@ -146,6 +167,38 @@
     }
   }
 
+  static constexpr milliseconds ReadInterval = 700ms;
+
+  void exchangeClaims(Router &Each, bool IsAway) {
+    std::string Name = std::to_string(Each.Place_.Index_);
+    std::string Claim = Engine.str();
+    bool IsWanted = Each.Limits_.isWanted(Engine, Now_);
+    if (!IsAway) {
+      if (std::exchange(Each.IsClaiming_, IsWanted) != IsWanted)
+        Table_[Name] = IsWanted ? Claim : "";
+      if (Now_ >= Each.NextRead_) {
+        Each.NextRead_ = Now_ + ReadInterval;
+        Each.Claims_.read(Table_, Name, Now_);
+      }
+    }
+    Each.Limits_.setClaimants(
+        Engine, IsWanted ? Each.Claims_.place(Claim, Now_) : std::nullopt,
+        Now_);
+  }
+
+  bool hasCallers(std::size_t Index, milliseconds Elapsed) const {
+    if (Case_.WithCallers_ == 0 || (Case_.AllHaveCallersFrom_ > 0ms &&
+                                    Elapsed >= Case_.AllHaveCallersFrom_))
+      return true;
+    std::size_t First = 0;
+    if (Case_.MoveInterval_ > 0ms)
+      First = static_cast<std::size_t>(Elapsed / Case_.MoveInterval_) *
+              Case_.WithCallers_;
+    return (Index + Routers_.size() - First % Routers_.size()) %
+               Routers_.size() <
+           Case_.WithCallers_;
+  }
+
   void step(Router &Each, std::size_t Index, milliseconds Elapsed) {
     while (!Each.News_.empty() && Each.News_.front().first <= Now_) {
       Each.Limits_.setPlace(Each.News_.front().second, Each.ClockOffset_, Now_);
@@ -159,13 +212,14 @@
       Each.Limits_.state(Engine, Case_.PerSecond_ * draw(Case_.Jitter_, 1),
                          Now_);
     }
-    bool HasCallers = Case_.WithCallers_ == 0 || Index < Case_.WithCallers_;
     double Chance =
         Case_.ArrivalsPerSecond_ * std::chrono::duration<double>(Step).count();
     // Each router hears of the limit by a first request.
     bool IsFirst = Elapsed == 0ms;
-    bool Arrives =
-        HasCallers && Elapsed >= Case_.QuietUntil_ && draw(0, 1) < Chance;
+    bool Arrives = hasCallers(Index, Elapsed) && Elapsed >= Case_.QuietUntil_ &&
+                   draw(0, 1) < Chance;
+    if (Arrives)
+      Each.Limits_.want(Engine, Now_);
     if (!(IsFirst || Arrives) ||
         Each.Limits_.wait(Engine, Now_) > base::Duration::zero())
       return;
@@ -181,6 +235,8 @@
   std::mt19937 Random_;
   base::TimePoint Now_ = Start;
   std::vector<Router> Routers_;
+  /// Published claims by router.
+  std::map<std::string, std::string> Table_;
   std::size_t NextRestart_ = 0;
   std::vector<base::TimePoint> Counted_;
   std::size_t Sent_ = 0;
@@ -248,7 +304,58 @@
                   .PerSecond_ = 6,
                   .Jitter_ = 0.9,
                   .LeastShare_ = 0.6},
-        FleetCase{.Name_ = "nothing", .Routers_ = 300, .PerSecond_ = 0}),
+        FleetCase{.Name_ = "nothing", .Routers_ = 300, .PerSecond_ = 0},
+        FleetCase{.Name_ = "all_claim",
+                  .Routers_ = 40,
+                  .LeastShare_ = 0.9,
+                  .Claims_ = true},
+        FleetCase{.Name_ = "one_of_four_claims",
+                  .WithCallers_ = 1,
+                  .LeastShare_ = 0.5,
+                  .Claims_ = true},
+        FleetCase{.Name_ = "one_of_hundreds_claims",
+                  .Routers_ = 300,
+                  .WithCallers_ = 1,
+                  .LeastShare_ = 0.4,
+                  .Claims_ = true},
+        FleetCase{.Name_ = "claim_of_a_high_limit",
+                  .Routers_ = 300,
+                  .PerSecond_ = 10,
+                  .ArrivalsPerSecond_ = 30,
+                  .WithCallers_ = 1,
+                  .LeastShare_ = 0.4,
+                  .Claims_ = true},
+        FleetCase{.Name_ = "claims_while_the_table_is_away",
+                  .Routers_ = 40,
+                  .WithCallers_ = 2,
+                  .Claims_ = true,
+                  .AwayFrom_ = 20s,
+                  .AwayUntil_ = 35s},
+        FleetCase{.Name_ = "callers_come_to_all_at_once",
+                  .Routers_ = 300,
+                  .PerSecond_ = 10,
+                  .WithCallers_ = 1,
+                  .Claims_ = true,
+                  .AllHaveCallersFrom_ = 30s},
+        FleetCase{.Name_ = "callers_come_while_the_table_is_away",
+                  .Routers_ = 300,
+                  .PerSecond_ = 10,
+                  .WithCallers_ = 1,
+                  .Claims_ = true,
+                  .AwayFrom_ = 30s,
+                  .AwayUntil_ = 45s,
+                  .AllHaveCallersFrom_ = 30s},
+        FleetCase{.Name_ = "callers_move",
+                  .Routers_ = 60,
+                  .PerSecond_ = 6,
+                  .WithCallers_ = 3,
+                  .Claims_ = true,
+                  .MoveInterval_ = 4s},
+        FleetCase{.Name_ = "claiming_routers_start_again",
+                  .Routers_ = 40,
+                  .WithCallers_ = 4,
+                  .RestartInterval_ = 500ms,
+                  .Claims_ = true}),
     [](const auto &Info) { return Info.param.Name_; });
 
 TEST(RequestLimitsTest, EndpointWithoutALimitIsAdmitted) {
