--- a/daemons/direct/direct-router.h
+++ b/daemons/direct/direct-router.h
@@ -46,9 +46,9 @@
   void onTokensNeeded(std::function<void()> Callback);
   void escrowChanged();
 
-  /// Exchanges what routers know of prompt parts that crash engines. The
-  /// callback says that there are reports to take and to pass on to the other
-  /// routers. Reports that come back have no effect.
+  /// Exchanges what routers know of requests and prompt parts that crash
+  /// engines. The callback says that there are reports to take and to pass on
+  /// to the other routers. Reports that come back have no effect.
   void onCrashReports(std::function<void()> Callback);
   CrashReports takeCrashReports();
   void addCrashReports(const CrashReports &Reports);
