--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -923,7 +923,8 @@
   const RequestLimitCase &Case = GetParam();
   configure(Case.Kind_);
   constexpr int Requests = 120;
-  Script_->assign(2 * Requests, Case.Behavior_);
+  constexpr std::size_t MaxAttempts = 2;
+  Script_->assign(MaxAttempts * Requests, Case.Behavior_);
   FakeEndpoint &Limited = addEndpoint();
   Limited.RequestLimit_ = std::to_string(Case.PerSecond_);
   Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -10,8 +10,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <memory>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
--- a/libs/routing/include/camphorwind/routing/quarantine.h
+++ b/libs/routing/include/camphorwind/routing/quarantine.h
@@ -5,7 +5,6 @@
 #include "camphorwind/routing/prompt-cache.h"
 
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -14,6 +13,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -32,7 +32,10 @@
   Kind Kind_ = Kind::PromptPart;
   std::uint64_t Id_ = 0;
 
-  friend auto operator<=>(const Suspect &, const Suspect &) = default;
+  friend bool operator==(const Suspect &, const Suspect &) = default;
+  friend bool operator<(const Suspect &Left, const Suspect &Right) {
+    return std::tie(Left.Kind_, Left.Id_) < std::tie(Right.Kind_, Right.Id_);
+  }
 };
 
 /// Returns the name used in logs, such as "prompt_part".
--- a/libs/routing/test/request-limits-test.cpp
+++ b/libs/routing/test/request-limits-test.cpp
@@ -171,7 +171,7 @@
 
   void exchangeClaims(Router &Each, bool IsAway) {
     std::string Name = std::to_string(Each.Place_.Index_);
-    std::string Claim = Engine.str();
+    const std::string &Claim = Engine.str();
     bool IsWanted = Each.Limits_.isWanted(Engine, Now_);
     if (!IsAway) {
       if (std::exchange(Each.IsClaiming_, IsWanted) != IsWanted)
