--- a/libs/net/include/camphorwind/net/http.h
+++ b/libs/net/include/camphorwind/net/http.h
@@ -1,6 +1,9 @@
 #ifndef CAMPHORWIND_NET_HTTP_H
 #define CAMPHORWIND_NET_HTTP_H
 
+#include "camphorwind/base/time.h"
+
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -39,6 +42,11 @@
   HttpHeaders Query_;
   HttpHeaders Headers_;
   std::string Body_;
+  /// When the server read the header section.
+  base::TimePoint HeadReadAt_{};
+  /// Time for which the header section had waited in the socket by then; 0 if
+  /// the system does not tell.
+  std::chrono::milliseconds SocketWait_{0};
 };
 
 /// An answer sent whole.
--- a/libs/net/include/camphorwind/net/socket.h
+++ b/libs/net/include/camphorwind/net/socket.h
@@ -4,6 +4,8 @@
 #include "camphorwind/base/address.h"
 #include "camphorwind/base/result.h"
 
+#include <chrono>
+
 /// TCP sockets by IP number; no name resolution.
 namespace camphorwind::net {
 
@@ -44,6 +46,10 @@
 /// Returns the pending error of a socket, 0 when connected.
 int pendingError(int Fd);
 
+/// Returns the time since the system received the latest data of a TCP
+/// connection; 0 if it does not tell.
+std::chrono::milliseconds timeSinceLastData(int Fd);
+
 } // namespace camphorwind::net
 
 #endif // CAMPHORWIND_NET_SOCKET_H
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -121,6 +121,8 @@
   /// Reads the request line and headers.
   void begin(const char *Url, const char *Method, std::string_view Version) {
     StreamsInChunks_ = Version != MHD_HTTP_VERSION_1_0;
+    Request_.HeadReadAt_ = Core_->Owner_.now();
+    Request_.SocketWait_ = timeSinceLastData(fd());
     Request_.Method_ = Method;
     Request_.Path_ = Url;
     MHD_get_connection_values(Connection_, MHD_HEADER_KIND, addField,
@@ -227,9 +229,7 @@
   void suspend() {
     Suspended_ = true;
     MHD_suspend_connection(Connection_);
-    const MHD_ConnectionInfo *Info =
-        MHD_get_connection_info(Connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
-    HangupWatcher_.start(Info->connect_fd, Interest::Read);
+    HangupWatcher_.start(fd(), Interest::Read);
   }
 
   void wake() {
@@ -243,10 +243,8 @@
 
   /// A suspended connection became readable: the caller sent more or left.
   void probeHangup() {
-    const MHD_ConnectionInfo *Info =
-        MHD_get_connection_info(Connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
     char Byte = 0;
-    ssize_t Got = ::recv(Info->connect_fd, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    ssize_t Got = ::recv(fd(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (Got < 0 && (errno == EAGAIN || errno == EINTR))
       return;
     HangupWatcher_.stop();
@@ -324,12 +322,16 @@
   /// Ends the connection with a reset. libmicrohttpd would shut it down first,
   /// which is how a stream without chunks ends regularly.
   void resetConnection() {
-    const MHD_ConnectionInfo *Info =
-        MHD_get_connection_info(Connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
     // Connecting a TCP socket to no address resets its connection.
     sockaddr Nowhere{};
     Nowhere.sa_family = AF_UNSPEC;
-    static_cast<void>(::connect(Info->connect_fd, &Nowhere, sizeof(Nowhere)));
+    static_cast<void>(::connect(fd(), &Nowhere, sizeof(Nowhere)));
+  }
+
+  int fd() const {
+    return MHD_get_connection_info(Connection_,
+                                   MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
   }
 
   void notifyDrain() {
--- a/libs/net/src/socket.cpp
+++ b/libs/net/src/socket.cpp
@@ -145,4 +145,14 @@
   return Error;
 }
 
+std::chrono::milliseconds timeSinceLastData(int Fd) {
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  if (::getsockopt(Fd, IPPROTO_TCP, TCP_INFO, &Info, &Size) != 0 ||
+      Size < offsetof(tcp_info, tcpi_last_data_recv) +
+                 sizeof(Info.tcpi_last_data_recv))
+    return std::chrono::milliseconds(0);
+  return std::chrono::milliseconds(Info.tcpi_last_data_recv);
+}
+
 } // namespace camphorwind::net
