Log what of a taken-over slice was reserved, and what its checkpoint allowed

slice_taken_over gets reserved and burst, so that tokens stranded by open requests can be told from those stranded by time in the dark. The slice row carries reserved; routers that do not know it ignore it.

--- a/daemons/direct/escrow-driver.h
+++ b/daemons/direct/escrow-driver.h
@@ -62,6 +62,8 @@
                     {"granted", Each.Granted_.count()},
                     {"checkpointed", Each.Checkpointed_.count()},
                     {"counted_as_spent", Each.CountedAsSpent_.count()},
+                    {"reserved", Each.Reserved_.count()},
+                    {"burst", Each.Burst_.count()},
                     {"checkpoint_age_ms", Each.CheckpointAge_.count()}});
     Router_.escrowChanged();
     step();
--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -122,11 +122,16 @@
 struct EscrowTakeover {
   base::AccountId Account_;
   base::Tokens Granted_;
-  /// Spent by the previous process as of its last checkpoint.
+  /// Spent or reserved by the previous process as of its last checkpoint.
   base::Tokens Checkpointed_;
   /// Counted as spent by the previous process: the maximum that its checkpoint
   /// allowed. The tokens above `Checkpointed_` may not have been spent.
   base::Tokens CountedAsSpent_;
+  /// Tokens among `Checkpointed_` that were only reserved.
+  base::Tokens Reserved_;
+  /// Tokens among `CountedAsSpent_` that the checkpoint allowed at once, as far
+  /// as the slice covers them.
+  base::Tokens Burst_;
   /// Time from the last checkpoint of the previous process to the start of this
   /// one.
   std::chrono::milliseconds CheckpointAge_{0};
--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -75,7 +75,8 @@
               {"spread", Value.Checkpoint_.Spread_},
               {"delay", Value.Checkpoint_.Delay_.count()},
               {"at", Value.Checkpoint_.At_.count()},
-              {"demand", Value.TokensPerSecond_}}
+              {"demand", Value.TokensPerSecond_},
+              {"reserved", Value.Reserved_}}
       .dump();
 }
 
@@ -103,7 +104,8 @@
                   {*Used, *Burst, *Rate, *Spread,
                    std::chrono::milliseconds(*Delay),
                    std::chrono::milliseconds(*At)},
-                  integerField(*Parsed, "demand").value_or(0)};
+                  integerField(*Parsed, "demand").value_or(0),
+                  integerField(*Parsed, "reserved").value_or(0)};
 }
 
 std::string encodeTotal(std::int64_t Granted) {
--- a/libs/budget/src/escrow-rows.h
+++ b/libs/budget/src/escrow-rows.h
@@ -52,6 +52,8 @@
   /// The router's demand: tokens spent per second, plus a part for refused
   /// requests. Other routers compute their shares from it.
   std::int64_t TokensPerSecond_ = 0;
+  /// Tokens among `Checkpoint_.Used_` that were only reserved.
+  std::int64_t Reserved_ = 0;
 
   /// Granted tokens above the ceiling at \p TableTime, which are certainly
   /// unspent.
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -839,7 +839,7 @@
         {std::move(Key),
          detail::encodeSlice({Settings_.Incarnation_.str(), Granted,
                               *State.PendingCheckpoint_,
-                              publishedDemand(State, Now)})});
+                              publishedDemand(State, Now), State.Reserved_})});
     std::string Total = key(detail::totalKey(Account));
     // Routers that open the account must not miss a slice that is being written
     // again.
@@ -958,6 +958,8 @@
     Takeovers_.push_back({Account, base::Tokens(Row->Granted_),
                           base::Tokens(Row->Checkpoint_.Used_),
                           base::Tokens(State.Inherited_),
+                          base::Tokens(Row->Reserved_),
+                          base::Tokens(Row->Checkpoint_.Burst_),
                           EndedBy - Row->Checkpoint_.At_});
     inheritDemand(State, Row->TokensPerSecond_, Now);
   }
