Failing test: requests held past their route's timeout

RouteTimeoutTest has a route timeout of 1 s and looks 1.5 s after the request was sent: a request whose body comes late, one whose body never ends, one that waited while the router was busy, and a stream that its caller does not read all go on. One that was whole at once ends in time.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -6,6 +6,7 @@
 
 #include "camphorwind/net/http-server.h"
 #include "camphorwind/net/origin-client.h"
+#include "camphorwind/net/socket.h"
 
 #include <gtest/gtest.h>
 
@@ -17,7 +18,10 @@
 #include <memory>
 #include <optional>
 #include <ostream>
+#include <poll.h>
 #include <string>
+#include <sys/socket.h>
+#include <thread>
 #include <vector>
 
 /// Tests a router with fake endpoints and callers on one event loop.
@@ -55,6 +59,8 @@
   RefuseLeaving,
   /// Does not run the request and wants no more for 0.6 s.
   HoldOff,
+  /// Streams large events without end.
+  FloodingStream,
 };
 
 /// Behaviors for successive requests, whichever endpoint receives them. Once
@@ -155,6 +161,15 @@
     case EndpointBehavior::HoldOff:
       return Exchange->respond(
           {503, {{"X-Not-Executed", "1"}, {"Retry-After", "0.6"}}, ""});
+    case EndpointBehavior::FloodingStream:
+      Exchange->startStream(200, responseHeaders());
+      DripTimer_ = std::make_unique<net::Timer>(Loop_, [this, Exchange] {
+        constexpr std::size_t EventBytes = 128UL * 1024;
+        Exchange->write("id: " + std::to_string(++SlowId_) +
+                        "\ndata: " + std::string(EventBytes, 'x') + "\n\n");
+      });
+      DripTimer_->startRepeating(5ms);
+      return;
     case EndpointBehavior::NoResponse:
       OpenExchanges_.push_back(Exchange);
     }
@@ -1083,6 +1098,97 @@
   EXPECT_EQ(fetch(makeCall()).Status_, 504u);
 }
 
+/// A caller that writes its request byte for byte, and reads nothing.
+class RawCaller {
+public:
+  explicit RawCaller(const base::Address &Router)
+      : Socket_(std::move(net::startConnect(Router).value())) {
+    awaitEvents(POLLOUT);
+  }
+
+  void send(std::string_view Bytes) const {
+    ASSERT_EQ(::send(Socket_.fd(), Bytes.data(), Bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(Bytes.size()));
+  }
+
+  /// Whether the router has answered, or has begun to.
+  bool hasAnswer() const { return awaitEvents(POLLIN, 0) != 0; }
+  /// Whether the router has ended the connection.
+  bool isEnded() const {
+    return (awaitEvents(POLLRDHUP, 0) & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
+  }
+
+private:
+  short awaitEvents(short Events, int TimeoutMs = 1000) const {
+    pollfd Polled{Socket_.fd(), Events, 0};
+    ::poll(&Polled, 1, TimeoutMs);
+    return Polled.revents;
+  }
+
+  net::Socket Socket_;
+};
+
+/// What keeps a router from noticing that a request has reached its route's
+/// timeout.
+struct RouteTimeoutCase {
+  std::string_view Name_;
+  /// Time from the head of the request to the rest of its body; unset if the
+  /// rest never comes.
+  std::optional<std::chrono::milliseconds> BodyDelay_ = 0ms;
+  /// Time for which the router does not run after the request was sent.
+  std::chrono::milliseconds BusyTime_ = 0ms;
+  /// The endpoint streams more than the caller reads.
+  bool StreamsUnread_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out, const RouteTimeoutCase &Value) {
+  return Out << Value.Name_;
+}
+
+class RouteTimeoutTest : public DirectRouterTest,
+                         public testing::WithParamInterface<RouteTimeoutCase> {
+};
+
+/// Guards against requests that are held past their route's timeout because the
+/// router begins to count late, or waits for the caller.
+TEST_P(RouteTimeoutTest, RequestEndsWithinHalfASecond) {
+  const RouteTimeoutCase &Case = GetParam();
+  constexpr auto Timeout = 1000ms;
+  constexpr auto Allowed = Timeout + 500ms;
+  configure(Case.StreamsUnread_ ? RequestKind::Stream
+                                : RequestKind::NonIdempotent,
+            false, Timeout);
+  addEndpoint({Case.StreamsUnread_ ? EndpointBehavior::FloodingStream
+                                   : EndpointBehavior::NoResponse});
+  RawCaller Caller(Listen_);
+  Caller.send("POST /orders/7 HTTP/1.1\r\nHost: shop.example\r\n"
+              "Authorization: Bearer secret\r\nX-Attempt-Id: a1\r\n"
+              "X-Time-Left-Ms: 9000\r\nContent-Length: 4\r\n\r\nbo");
+  auto Left = Allowed;
+  if (Case.BodyDelay_) {
+    if (*Case.BodyDelay_ > 0ms)
+      wait(*Case.BodyDelay_);
+    Left -= *Case.BodyDelay_;
+    Caller.send("dy");
+  }
+  if (Case.BusyTime_ > 0ms)
+    std::this_thread::sleep_for(Case.BusyTime_);
+  Left -= Case.BusyTime_;
+  wait(Left);
+  EXPECT_TRUE(Case.StreamsUnread_ ? Caller.isEnded() : Caller.hasAnswer());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Delays, RouteTimeoutTest,
+    testing::Values(
+        RouteTimeoutCase{"whole_at_once"},
+        RouteTimeoutCase{.Name_ = "late_body", .BodyDelay_ = 900ms},
+        RouteTimeoutCase{.Name_ = "body_never_ends",
+                         .BodyDelay_ = std::nullopt},
+        RouteTimeoutCase{.Name_ = "busy_router", .BusyTime_ = 900ms},
+        RouteTimeoutCase{.Name_ = "stream_not_read", .StreamsUnread_ = true}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 TEST_F(DirectRouterTest, StoppingRouterIsNotReadyAndRefusesLateRequests) {
   configure(RequestKind::NonIdempotent);
   addEndpoint();
