--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -7,6 +7,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -591,17 +592,16 @@
                                          KillCase{"little_demand", 11s, 8'000}),
                          [](const auto &Info) { return Info.param.Name_; });
 
-/// Many routers that share one account, with randomly arriving requests of very
-/// different sizes, so that slices are small compared to requests.
-class ManyRoutersTest : public testing::Test {
-protected:
-  static constexpr std::size_t Routers = 12;
-  static constexpr std::int64_t Budget = 1'500'000;
+/// Sends randomly arriving requests of very different sizes to the hosts.
+class RandomCallers {
+public:
   static constexpr std::int64_t MeanSize = 6000;
-  static constexpr auto Step = 50ms;
 
-  /// Sends random requests to the hosts with index \p First and above. Returns
-  /// the fraction that got tokens within `MaxWait` of arrival.
+  RandomCallers(World &Tested, std::size_t Hosts)
+      : World_(Tested), Hosts_(Hosts) {}
+
+  /// Sends requests to the hosts with index \p First and above. Returns the
+  /// fraction that got tokens within `MaxWait` of arrival.
   double serve(std::chrono::milliseconds Span, double RequestsPerSecond,
                std::size_t First = 0) {
     std::exponential_distribution<> Gap(RequestsPerSecond);
@@ -613,7 +613,7 @@
       const double StepEnd = std::chrono::duration<double>(Now + Step).count();
       while (Next < StepEnd) {
         Next += Gap(Random_);
-        std::size_t HostIndex = First + Random_() % (Routers - First);
+        std::size_t HostIndex = First + Random_() % (Hosts_ - First);
         auto Bound = 500 + static_cast<std::int64_t>(Size(Random_));
         Waiting_.push_back({HostIndex, Bound, MaxWait});
         ++Requested;
@@ -635,9 +635,8 @@
     return static_cast<double>(Served) / std::max(1, Requested);
   }
 
-  World World_{Budget, Routers};
-
 private:
+  static constexpr auto Step = 50ms;
   /// Maximum time that a request waits for tokens.
   static constexpr auto MaxWait = 300ms;
   struct Waiter {
@@ -646,10 +645,31 @@
     std::chrono::milliseconds TimeLeft_{0};
   };
 
+  World &World_;
+  std::size_t Hosts_;
   std::mt19937_64 Random_{7};
   std::vector<Waiter> Waiting_;
 };
 
+/// Many routers that share one account, so that slices are small compared to
+/// requests.
+class ManyRoutersTest : public testing::Test {
+protected:
+  static constexpr std::size_t Routers = 12;
+  static constexpr std::int64_t Budget = 1'500'000;
+  static constexpr std::int64_t MeanSize = RandomCallers::MeanSize;
+
+  double serve(std::chrono::milliseconds Span, double RequestsPerSecond,
+               std::size_t First = 0) {
+    return Callers_.serve(Span, RequestsPerSecond, First);
+  }
+
+  World World_{Budget, Routers};
+
+private:
+  RandomCallers Callers_{World_, Routers};
+};
+
 TEST_F(ManyRoutersTest, ServesRequestsThatMoveToOtherRouters) {
   World_.runWithoutFaults(500ms);
   // Spend a third of the budget at the last two routers only.
@@ -681,6 +701,62 @@
                 DemandPerSecond * 2 * std::chrono::seconds(Down).count());
 }
 
+/// A day on which all routers lose power three times, the first two times under
+/// a burst.
+struct PowerLossCase {
+  std::string Name_;
+  /// Requests per second of the account outside of the burst.
+  double RequestsPerSecond_ = 0;
+  /// Time from each power loss to the start of the routers.
+  std::vector<std::chrono::milliseconds> DarkTimes_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const PowerLossCase &Value) {
+  return Out << Value.Name_;
+}
+
+class PowerLossTest : public testing::TestWithParam<PowerLossCase> {};
+
+/// Guards against budgets that end early because each start of a router counts
+/// as spent what the process before would have spent while the host was dark.
+/// The budget covers the demand of the whole day.
+TEST_P(PowerLossTest, ServesAQuarterAfterTheLastPowerLoss) {
+  const PowerLossCase &Case = GetParam();
+  constexpr std::size_t Routers = 4;
+  constexpr double BurstFactor = 2;
+  const std::array Spans{8s, 12s, 16s};
+  constexpr auto Recovery = 12s;
+  constexpr auto Judged = 10s;
+  const double Seconds =
+      BurstFactor *
+          std::chrono::duration<double>(Spans[0] + Spans[1] + Spans[2])
+              .count() +
+      std::chrono::duration<double>(Recovery + Judged).count();
+  constexpr auto MeanBound = RandomCallers::MeanSize + 500;
+  World Tested(
+      static_cast<std::int64_t>(Case.RequestsPerSecond_ * MeanBound * Seconds),
+      Routers);
+  RandomCallers Callers(Tested, Routers);
+  Tested.runWithoutFaults(1s);
+  for (std::size_t Loss = 0; Loss < Spans.size(); ++Loss) {
+    Callers.serve(Spans[Loss], BurstFactor * Case.RequestsPerSecond_);
+    Tested.advance(Case.DarkTimes_[Loss]);
+    for (std::size_t Index = 0; Index < Routers; ++Index)
+      Tested.kill(Tested.host(Index));
+    Tested.runWithoutFaults(500ms);
+  }
+  Callers.serve(Recovery, Case.RequestsPerSecond_);
+  EXPECT_GE(Callers.serve(Judged, Case.RequestsPerSecond_), 0.25);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Days, PowerLossTest,
+    testing::Values(
+        PowerLossCase{"large_account", 20, {3300ms, 2900ms, 1700ms}},
+        PowerLossCase{"small_account", 2, {3300ms, 2900ms, 1700ms}},
+        PowerLossCase{"long_darkness", 20, {6s, 6s, 2s}}),
+    [](const auto &Info) { return Info.param.Name_; });
+
 TEST_F(EscrowTest, ServesDuringATableOutage) {
   World_.runWithoutFaults(1s);
   int Served = 0;
