Count a route's timeout from the head of the request

Callers saw requests held past their route's timeout by the time that the body took, and without a bound if it never came whole. The deadline was set when the whole body had been read. It now counts from the header section, and a body that is not whole by then is answered 408, which is true: the request never ran.

The answer is written past libmicrohttpd, which queues none while it reads a body; what still arrives is discarded for a second.

--- a/daemons/common/refusals.cpp
+++ b/daemons/common/refusals.cpp
@@ -32,6 +32,8 @@
     return {404, "There is nothing at this path."};
   case RefusalReason::MethodNotAllowed:
     return {405, "This path does not take that method."};
+  case RefusalReason::BodyTooLate:
+    return {408, "The request body was not whole in time."};
   case RefusalReason::AnswerNotKept:
     return {410, "The request has been answered; the answer is not kept."};
   case RefusalReason::BodyTooLarge:
--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -1,5 +1,6 @@
 #include "direct-router.h"
 
+#include "../common/refusals.h"
 #include "forwarded-request.h"
 #include "forwarding.h"
 #include "token-loans.h"
@@ -171,6 +172,35 @@
     Forwarded->start();
   }
 
+  /// Returns how long a caller may take to send its request: no longer than it
+  /// may be kept waiting for the answer.
+  std::optional<base::Duration>
+  bodyTimeLimit(const net::HttpRequest &Head) const {
+    const ViewPtr &Current = Context_.View_.current();
+    RequestMetadata Metadata =
+        parseRequestHeaders(Head.Headers_, Context_.Settings_.Headers_);
+    const Route *Found =
+        Current ? Current->findRouteOfHost(Metadata.Host_, Head.Path_)
+                : nullptr;
+    if (!Found)
+      return Metadata.TimeLeft_;
+    return std::min(Metadata.TimeLeft_.value_or(Found->Timeout_),
+                    Found->Timeout_);
+  }
+
+  /// Makes the answer to a request whose body was not accepted.
+  net::HttpAnswer bodyErrorAnswer(unsigned Status) {
+    daemons::CallerError Error;
+    constexpr unsigned RequestTimeout = 408;
+    Error.Reason_ = Status == RequestTimeout
+                        ? base::RefusalReason::BodyTooLate
+                        : base::RefusalReason::BodyTooLarge;
+    Context_.Metrics_.countRefusal(Error.Reason_, Error.Ran_);
+    observe::log(LogLevel::Info, "request_body_refused",
+                 {{"reason", base::toString(Error.Reason_)}});
+    return daemons::errorAnswer(Error);
+  }
+
   void
   handleReadinessRequest(const net::HttpRequest &Request,
                          const std::shared_ptr<net::HttpExchange> &Exchange) {
@@ -321,8 +351,15 @@
           [Implementation](net::HttpRequest Request,
                            const std::shared_ptr<net::HttpExchange> &Exchange) {
             Implementation->handle(std::move(Request), Exchange);
+          },
+          [Implementation](unsigned Status) {
+            return Implementation->bodyErrorAnswer(Status);
           }));
   Implementation->CallerServer_ = std::move(Server);
+  Implementation->CallerServer_->setBodyTimeLimit(
+      [Implementation](const net::HttpRequest &Head) {
+        return Implementation->bodyTimeLimit(Head);
+      });
   Limits.HeaderBytes_ = MaxReadinessHeaderBytes;
   BOOST_OUTCOME_TRY(
       Readiness,
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -97,10 +97,6 @@
   return Text;
 }
 
-std::string_view withoutPort(std::string_view Host) {
-  return Host.substr(0, Host.find(':'));
-}
-
 } // namespace
 
 ForwardedRequest::ForwardedRequest(ForwardingContext &Context,
@@ -108,7 +104,7 @@
                                    std::shared_ptr<net::HttpExchange> Exchange)
     : Context_(Context), Request_(std::move(Request)),
       Exchange_(std::move(Exchange)), View_(Context.View_.current()),
-      ArrivedAt_(Context.Loop_.now()) {}
+      ArrivedAt_(Request_.HeadReadAt_), WholeAt_(Context.Loop_.now()) {}
 
 void ForwardedRequest::start() {
   Context_.OpenRequests_.insert(shared_from_this());
@@ -125,7 +121,7 @@
                    Account_ ? std::string_view(Account_->Account_.str()) : "",
                    Body_ ? std::string_view(*Body_) : ""});
   Suspects_ = routing::suspectsIn(prompt(), Fingerprint_);
-  Context_.poolState(Pool_).Retries_.addRequest(ArrivedAt_);
+  Context_.poolState(Pool_).Retries_.addRequest(WholeAt_);
   if (!refuseQuarantined() && reserveTokens())
     placeAttempt();
 }
@@ -133,14 +129,11 @@
 std::optional<RefusalReason> ForwardedRequest::admit() {
   RequestMetadata_ =
       parseRequestHeaders(Request_.Headers_, Context_.Settings_.Headers_);
-  if (Context_.refusesNew(ArrivedAt_))
+  if (Context_.refusesNew(WholeAt_))
     return RefusalReason::ShuttingDown;
   if (!View_)
     return RefusalReason::NotReady;
-  Route_ =
-      View_->findRoute(withoutPort(RequestMetadata_.Host_), Request_.Path_);
-  if (!Route_)
-    Route_ = View_->findRoute(RequestMetadata_.Host_, Request_.Path_);
+  Route_ = View_->findRouteOfHost(RequestMetadata_.Host_, Request_.Path_);
   if (!Route_)
     return viewMayBeStale() ? RefusalReason::NotReady : RefusalReason::NotFound;
   if (auto Reason = authenticate())
@@ -155,9 +148,11 @@
   PoolConfig_ = View_->findPool(Pool_);
   if (!Request_.Body_.empty())
     Body_ = std::make_shared<const std::string>(std::move(Request_.Body_));
-  CallerDeadline_ =
-      ArrivedAt_ + RequestMetadata_.TimeLeft_.value_or(Route_->Timeout_);
-  Deadline_ = std::min(CallerDeadline_, ArrivedAt_ + Route_->Timeout_);
+  base::Duration CallerTime =
+      RequestMetadata_.TimeLeft_.value_or(Route_->Timeout_);
+  CallerDeadline_ = ArrivedAt_ + CallerTime;
+  Deadline_ =
+      ArrivedAt_ + std::min<base::Duration>(CallerTime, Route_->Timeout_);
   EventStream_ = EventStream(RequestMetadata_.LastEventId_);
   return std::nullopt;
 }
@@ -174,7 +169,7 @@
 
 bool ForwardedRequest::viewMayBeStale() const {
   return Context_.SourceLostAt_ &&
-         ArrivedAt_ - *Context_.SourceLostAt_ > MaxSourceSilence;
+         WholeAt_ - *Context_.SourceLostAt_ > MaxSourceSilence;
 }
 
 bool ForwardedRequest::reserveTokens() {
@@ -867,7 +862,7 @@
        {"unfinished_bytes", Attempt_.UnfinishedBytes_},
        {"unsent_bytes", Exchange_->buffered()},
        {"socket_wait_ms", Request_.SocketWait_.count()},
-       {"body_ms", toMilliseconds(ArrivedAt_ - Request_.HeadReadAt_)},
+       {"body_ms", toMilliseconds(WholeAt_ - Request_.HeadReadAt_)},
        {"first_ms",
         FirstByteAt_ ? toMilliseconds(*FirstByteAt_ - ArrivedAt_) : -1},
        {"total_ms", toMilliseconds(Now - ArrivedAt_)},
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -168,7 +168,10 @@
   std::uint64_t Fingerprint_ = 0;
   /// What of this request may crash endpoints.
   std::vector<routing::Suspect> Suspects_;
+  /// When the request began; deadlines count from here.
   base::TimePoint ArrivedAt_{};
+  /// When the body was whole.
+  base::TimePoint WholeAt_{};
   /// The earlier of CallerDeadline_ and the route's timeout.
   base::TimePoint Deadline_{};
   /// When the caller stops waiting; the route's timeout if the caller set none.
--- a/libs/base/include/camphorwind/base/reasons.h
+++ b/libs/base/include/camphorwind/base/reasons.h
@@ -21,6 +21,7 @@
 enum class RefusalReason {
   MalformedRequest,
   BodyTooLarge,
+  BodyTooLate,
   HeadersTooLarge,
   UnknownKey,
   UnknownModel,
--- a/libs/base/src/reasons.cpp
+++ b/libs/base/src/reasons.cpp
@@ -22,6 +22,8 @@
     return "malformed_request";
   case RefusalReason::BodyTooLarge:
     return "body_too_large";
+  case RefusalReason::BodyTooLate:
+    return "body_too_late";
   case RefusalReason::HeadersTooLarge:
     return "headers_too_large";
   case RefusalReason::UnknownKey:
--- a/libs/direct/include/camphorwind/direct/view.h
+++ b/libs/direct/include/camphorwind/direct/view.h
@@ -119,6 +119,10 @@
   /// Returns the route of \p Host with the longest matching prefix of \p Path,
   /// or null.
   const Route *findRoute(std::string_view Host, std::string_view Path) const;
+  /// Returns the route for the value of a Host header, which may contain a
+  /// port, or null.
+  const Route *findRouteOfHost(std::string_view HostAndPort,
+                               std::string_view Path) const;
   /// Returns the pool, or null.
   const Pool *findPool(const base::PoolId &Id) const;
   /// Returns the account that holds \p Key, or null.
--- a/libs/direct/src/view.cpp
+++ b/libs/direct/src/view.cpp
@@ -62,6 +62,13 @@
   return nullptr;
 }
 
+const Route *View::findRouteOfHost(std::string_view HostAndPort,
+                                   std::string_view Path) const {
+  std::string_view Host = HostAndPort.substr(0, HostAndPort.find(':'));
+  const Route *Found = findRoute(Host, Path);
+  return Found ? Found : findRoute(HostAndPort, Path);
+}
+
 const Pool *View::findPool(const base::PoolId &Id) const {
   auto Match = Pools_.find(Id);
   return Match == Pools_.end() ? nullptr : &Match->second;
--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -59,9 +60,15 @@
 using HttpHandler =
     std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
 
-/// Makes the answers that the server gives by itself; \p Status is 413.
+/// Makes the answers that the server gives by itself; \p Status is 413 or 408.
 using HttpErrorAnswer = std::function<HttpAnswer(unsigned Status)>;
 
+/// Returns how long the caller may take to send the body that belongs to
+/// \p Head, counted from `Head.HeadReadAt_`; nothing for no limit. Called once
+/// for each request whose body did not arrive with its header section.
+using BodyTimeLimit =
+    std::function<std::optional<base::Duration>(const HttpRequest &Head)>;
+
 /// A listening server.
 class HttpServer {
 public:
@@ -82,6 +89,9 @@
   void stopAccepting();
   /// Changes the largest request body, for requests that start from now on.
   void setBodyLimit(std::size_t Bytes);
+  /// Sets the limit after which a request without its whole body is answered
+  /// 408. The handler never sees such a request.
+  void setBodyTimeLimit(BodyTimeLimit Limit);
   /// Number of requests whose answer is not out.
   std::size_t inProgress() const;
 
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace camphorwind::net {
 
@@ -19,6 +20,9 @@
 /// Idle time after which connections are closed once none are accepted.
 constexpr unsigned IdleSecondsAfterStop = 1;
 
+/// Idle time after which a connection is closed whose body came too late.
+constexpr unsigned IdleSecondsAfterRefusal = 1;
+
 /// What the next call of a connection's access handler has to do.
 enum class AnswerState {
   Waiting,   ///< The application has not answered yet.
@@ -35,6 +39,7 @@
   HttpServerLimits Limits_;
   HttpHandler Handler_;
   HttpErrorAnswer ErrorAnswer_;
+  BodyTimeLimit BodyTimeLimit_;
   MHD_Daemon *Daemon_ = nullptr;
   bool Quiesced_ = false;
   /// Answers close their connections.
@@ -42,6 +47,8 @@
   /// Requests whose answer is not out.
   std::unordered_set<Exchange *> Live_;
   std::unordered_set<MHD_Connection *> Connections_;
+  /// Requests whose header sections were read in the current run.
+  std::vector<std::weak_ptr<Exchange>> Begun_;
   Timer RunTimer_;
   FdWatcher PollWatcher_;
   bool RunPosted_ = false;
@@ -61,7 +68,8 @@
 public:
   Exchange(ServerCore &Core, MHD_Connection *Connection)
       : Core_(&Core), Connection_(Connection),
-        HangupWatcher_(Core.Owner_, [this](bool, bool) { probeHangup(); }) {
+        HangupWatcher_(Core.Owner_, [this](bool, bool) { probeHangup(); }),
+        BodyTimer_(Core.Owner_, [this] { refuseLateBody(); }) {
     Core_->Live_.insert(this);
   }
 
@@ -150,12 +158,20 @@
     return !Asks && Error == std::errc() && Bytes - Limit <= MaxDiscardedBytes;
   }
 
+  /// Limits the time for a body that is not whole yet.
+  void limitBodyTime() {
+    if (closed() || HandlerCalled_ || !Core_->BodyTimeLimit_)
+      return;
+    if (auto Limit = Core_->BodyTimeLimit_(Request_))
+      BodyTimer_.start(Request_.HeadReadAt_ + *Limit - Core_->Owner_.now());
+  }
+
   /// Keeps or discards part of the body. Returns false if the caller sends far
   /// more than it may.
   bool addBody(const char *Data, std::size_t Size) {
     TooLarge_ =
         TooLarge_ || Request_.Body_.size() + Size > Core_->Limits_.BodyBytes_;
-    if (!TooLarge_) {
+    if (!TooLarge_ && !BodyRefused_) {
       Request_.Body_.append(Data, Size);
       return true;
     }
@@ -165,6 +181,9 @@
 
   /// Handles the access handler's call after the body is complete.
   MHD_Result proceed() {
+    BodyTimer_.stop();
+    if (BodyRefused_)
+      return MHD_NO;
     if (!HandlerCalled_) {
       HandlerCalled_ = true;
       callHandler();
@@ -175,9 +194,7 @@
   MHD_Result refuseTooLarge() {
     HandlerCalled_ = true;
     State_ = AnswerState::Whole;
-    Answer_ = Core_->ErrorAnswer_
-                  ? Core_->ErrorAnswer_(MHD_HTTP_CONTENT_TOO_LARGE)
-                  : HttpAnswer{MHD_HTTP_CONTENT_TOO_LARGE, {}, ""};
+    Answer_ = errorAnswer(MHD_HTTP_CONTENT_TOO_LARGE);
     CloseAfter_ = true;
     return queueWhole();
   }
@@ -185,6 +202,7 @@
   /// Called when libmicrohttpd is done with the request.
   void complete(bool Delivered) {
     HangupWatcher_.stop();
+    BodyTimer_.stop();
     Connection_ = nullptr;
     Core_->Live_.erase(this);
     OnDrain_ = nullptr;
@@ -200,12 +218,35 @@
     return MHD_YES;
   }
 
+  HttpAnswer errorAnswer(unsigned Status) const {
+    return Core_->ErrorAnswer_ ? Core_->ErrorAnswer_(Status)
+                               : HttpAnswer{Status, {}, ""};
+  }
+
+  /// Answers a caller whose body is not whole in time. libmicrohttpd queues no
+  /// answer while it reads a body, so the answer is written past it. What still
+  /// arrives is discarded for a moment, since closing at once could reset the
+  /// connection before the caller has read the answer.
+  void refuseLateBody() {
+    BodyRefused_ = true;
+    HttpAnswer Answer = errorAnswer(MHD_HTTP_REQUEST_TIMEOUT);
+    std::string Text = "HTTP/1.1 408 Request Timeout\r\n";
+    for (const auto &[Name, Value] : Answer.Headers_.fields())
+      Text += Name + ": " + Value + "\r\n";
+    Text += "Connection: close\r\nContent-Length: " +
+            std::to_string(Answer.Body_.size()) + "\r\n\r\n" + Answer.Body_;
+    static_cast<void>(
+        ::send(fd(), Text.data(), Text.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
+    ::shutdown(fd(), SHUT_WR);
+    MHD_set_connection_option(Connection_, MHD_CONNECTION_OPTION_TIMEOUT,
+                              IdleSecondsAfterRefusal);
+    Core_->scheduleRun();
+  }
+
   void callHandler() {
     InHandler_ = true;
     if (TooLarge_)
-      respond(Core_->ErrorAnswer_
-                  ? Core_->ErrorAnswer_(MHD_HTTP_CONTENT_TOO_LARGE)
-                  : HttpAnswer{MHD_HTTP_CONTENT_TOO_LARGE, {}, ""});
+      respond(errorAnswer(MHD_HTTP_CONTENT_TOO_LARGE));
     else
       Core_->Handler_(std::move(Request_), shared_from_this());
     InHandler_ = false;
@@ -348,6 +389,7 @@
   ServerCore *Core_;
   MHD_Connection *Connection_;
   FdWatcher HangupWatcher_;
+  Timer BodyTimer_;
   HttpRequest Request_;
   HttpAnswer Answer_;
   std::string Buffer_;
@@ -356,6 +398,8 @@
   /// Streams to a caller of HTTP/1.0 end with their connection instead.
   bool StreamsInChunks_ = true;
   bool Begun_ = false;
+  /// The caller was told that its body came too late.
+  bool BodyRefused_ = false;
   bool HandlerCalled_ = false;
   bool InHandler_ = false;
   bool Suspended_ = false;
@@ -371,6 +415,9 @@
 
 void ServerCore::run() {
   MHD_run(Daemon_);
+  for (const std::weak_ptr<Exchange> &Each : std::exchange(Begun_, {}))
+    if (auto Begun = Each.lock())
+      Begun->limitBodyTime();
   MHD_UNSIGNED_LONG_LONG Milliseconds = 0;
   if (MHD_get_timeout(Daemon_, &Milliseconds) != MHD_YES) {
     RunTimer_.stop();
@@ -414,13 +461,14 @@
   return Self;
 }
 
-MHD_Result onAccess(void *, MHD_Connection *, const char *Url,
+MHD_Result onAccess(void *Context, MHD_Connection *, const char *Url,
                     const char *Method, const char *Version,
                     const char *UploadData, std::size_t *UploadSize,
                     void **State) {
   auto &Self = *static_cast<std::shared_ptr<Exchange> *>(*State);
   if (Self->isNew()) {
     Self->begin(Url, Method, Version);
+    static_cast<ServerCore *>(Context)->Begun_.push_back(Self);
     return Self->acceptsAnnouncedBody() ? MHD_YES : Self->refuseTooLarge();
   }
   if (*UploadSize > 0) {
@@ -509,6 +557,10 @@
   Inner_->Core_.Limits_.BodyBytes_ = Bytes;
 }
 
+void HttpServer::setBodyTimeLimit(BodyTimeLimit Limit) {
+  Inner_->Core_.BodyTimeLimit_ = std::move(Limit);
+}
+
 void HttpServer::stopAccepting() {
   auto &Core = Inner_->Core_;
   if (Core.Quiesced_)
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -173,6 +173,36 @@
   EXPECT_EQ(Got.Bytes_.find("\r\n0\r\n"), std::string::npos);
 }
 
+/// Guards against callers that hold a connection with a body that never ends.
+TEST_F(HttpServerTest, BodyThatIsNotWholeInTimeIs408) {
+  serve([](HttpRequest, const std::shared_ptr<HttpExchange> &) {
+    ADD_FAILURE() << "the handler got a request without its whole body";
+  });
+  Server_->setBodyTimeLimit([](const HttpRequest &Head) {
+    EXPECT_EQ(Head.Path_, "/slow");
+    return std::chrono::milliseconds(20);
+  });
+  RawAnswer Got = fetchRaw(*Owner_, Server_->address(),
+                           "POST /slow HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: 4\r\n\r\nab");
+  EXPECT_TRUE(Got.Bytes_.starts_with("HTTP/1.1 408 ")) << Got.Bytes_;
+  EXPECT_EQ(Got.Error_, 0);
+}
+
+TEST_F(HttpServerTest, BodyTimeLimitDoesNotConcernTheAnswer) {
+  std::shared_ptr<HttpExchange> Kept;
+  Timer Later(*Owner_, [&] { Kept->respond({200, {}, "late"}); });
+  serve([&](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
+    Kept = std::move(Exchange);
+    Later.start(std::chrono::milliseconds(60));
+  });
+  Server_->setBodyTimeLimit(
+      [](const HttpRequest &) { return std::chrono::milliseconds(20); });
+  auto Got = fetch(call("/", "body"));
+  ASSERT_TRUE(Got);
+  EXPECT_EQ(Got.value().Status_, 200u);
+}
+
 struct AbortCase {
   std::string_view Name_;
   std::string_view Request_;
