Count the time for which a request waited in its socket

A busy router reads a request long after it has arrived, and gave it the whole of its route's timeout from then on. A request that is read past its deadline is refused at once, as not run.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -104,7 +104,7 @@
                                    std::shared_ptr<net::HttpExchange> Exchange)
     : Context_(Context), Request_(std::move(Request)),
       Exchange_(std::move(Exchange)), View_(Context.View_.current()),
-      ArrivedAt_(Request_.HeadReadAt_), WholeAt_(Context.Loop_.now()) {}
+      ArrivedAt_(Request_.arrivedAt()), WholeAt_(Context.Loop_.now()) {}
 
 void ForwardedRequest::start() {
   Context_.OpenRequests_.insert(shared_from_this());
@@ -116,6 +116,10 @@
     refuse(*Reason);
     return;
   }
+  if (WholeAt_ >= Deadline_) {
+    refuse(RefusalReason::DeadlineUnreachable);
+    return;
+  }
   Fingerprint_ =
       fingerprint({Request_.Method_, RequestMetadata_.Host_, Request_.Target_,
                    Account_ ? std::string_view(Account_->Account_.str()) : "",
--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -64,7 +64,7 @@
 using HttpErrorAnswer = std::function<HttpAnswer(unsigned Status)>;
 
 /// Returns how long the caller may take to send the body that belongs to
-/// \p Head, counted from `Head.HeadReadAt_`; nothing for no limit. Called once
+/// \p Head, counted from `Head.arrivedAt()`; nothing for no limit. Called once
 /// for each request whose body did not arrive with its header section.
 using BodyTimeLimit =
     std::function<std::optional<base::Duration>(const HttpRequest &Head)>;
--- a/libs/net/include/camphorwind/net/http.h
+++ b/libs/net/include/camphorwind/net/http.h
@@ -47,6 +47,9 @@
   /// Time for which the header section had waited in the socket by then; 0 if
   /// the system does not tell.
   std::chrono::milliseconds SocketWait_{0};
+
+  /// When the header section reached this host.
+  base::TimePoint arrivedAt() const { return HeadReadAt_ - SocketWait_; }
 };
 
 /// An answer sent whole.
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -163,7 +163,7 @@
     if (closed() || HandlerCalled_ || !Core_->BodyTimeLimit_)
       return;
     if (auto Limit = Core_->BodyTimeLimit_(Request_))
-      BodyTimer_.start(Request_.HeadReadAt_ + *Limit - Core_->Owner_.now());
+      BodyTimer_.start(Request_.arrivedAt() + *Limit - Core_->Owner_.now());
   }
 
   /// Keeps or discards part of the body. Returns false if the caller sends far
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
+#include <thread>
 #include <utility>
 
 using namespace camphorwind::base;
@@ -203,6 +204,31 @@
   EXPECT_EQ(Got.value().Status_, 200u);
 }
 
+/// Guards against a server that does not know how long requests have waited
+/// while it was busy. Each case sends the request on a connection of its own.
+TEST_F(HttpServerTest, KnowsWhenARequestArrivedThatItReadsLate) {
+  constexpr auto BusyTime = std::chrono::milliseconds(200);
+  // The system's clock ticks every few milliseconds.
+  constexpr auto Tolerance = std::chrono::milliseconds(50);
+  std::chrono::milliseconds Wait{0};
+  serve([&](const HttpRequest &Request,
+            const std::shared_ptr<HttpExchange> &Exchange) {
+    Wait = Request.SocketWait_;
+    Exchange->respond({200, {{"Connection", "close"}}, ""});
+  });
+  Socket Early = std::move(startConnect(Server_->address()).value());
+  std::string_view Text = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  ASSERT_EQ(::send(Early.fd(), Text.data(), Text.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(Text.size()));
+  std::this_thread::sleep_for(BusyTime);
+  Timer Stop(*Owner_, [this] { Owner_->stop(); });
+  Stop.start(Tolerance);
+  Owner_->run();
+  EXPECT_GE(Wait, BusyTime - Tolerance);
+  fetchRaw(*Owner_, Server_->address(), std::string(Text));
+  EXPECT_LE(Wait, Tolerance);
+}
+
 struct AbortCase {
   std::string_view Name_;
   std::string_view Request_;
