Reset a caller that does not take an aborted stream

A stream that reached its route's timeout was cut off only after the caller had taken all that was written before, so that a caller that reads slowly or not at all held it open without a bound. What is not taken 250 ms after the abort is given up: the connection is reset.

--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -28,6 +28,9 @@
   unsigned Connections_ = 4096;
   /// An idle connection is closed after this time.
   std::chrono::seconds IdleTimeout_{75};
+  /// A caller that has not taken an aborted stream after this time is
+  /// disconnected with a reset.
+  std::chrono::milliseconds AbortGrace_{250};
 };
 
 /// One request in progress and its answer. Shared by the server and the
@@ -45,7 +48,7 @@
   /// Ends a streamed answer after all that was written.
   virtual void endStream() = 0;
   /// Cuts a streamed answer off after all that was written, so that the caller
-  /// sees it is not whole.
+  /// sees it is not whole. See HttpServerLimits::AbortGrace_.
   virtual void abortStream() = 0;
   /// Bytes written that the caller's connection has not taken yet.
   virtual std::size_t buffered() const = 0;
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -69,7 +69,8 @@
   Exchange(ServerCore &Core, MHD_Connection *Connection)
       : Core_(&Core), Connection_(Connection),
         HangupWatcher_(Core.Owner_, [this](bool, bool) { probeHangup(); }),
-        BodyTimer_(Core.Owner_, [this] { refuseLateBody(); }) {
+        BodyTimer_(Core.Owner_, [this] { refuseLateBody(); }),
+        AbortTimer_(Core.Owner_, [this] { resetConnection(); }) {
     Core_->Live_.insert(this);
   }
 
@@ -110,6 +111,7 @@
     Aborted_ = true;
     if (State_ == AnswerState::Waiting)
       State_ = AnswerState::Cut;
+    AbortTimer_.start(Core_->Limits_.AbortGrace_);
     wake();
   }
 
@@ -203,6 +205,7 @@
   void complete(bool Delivered) {
     HangupWatcher_.stop();
     BodyTimer_.stop();
+    AbortTimer_.stop();
     Connection_ = nullptr;
     Core_->Live_.erase(this);
     OnDrain_ = nullptr;
@@ -390,6 +393,7 @@
   MHD_Connection *Connection_;
   FdWatcher HangupWatcher_;
   Timer BodyTimer_;
+  Timer AbortTimer_;
   HttpRequest Request_;
   HttpAnswer Answer_;
   std::string Buffer_;
