Strand less of a budget that will run out soon

Callers were refused for want of tokens although 17% to 28% of each budget had not been spent.

An account whose unspent tokens last for less than 30 s has a burst of half a second of demand, the interval between two checkpoints, and its ceiling grows only after 2.5 s, when routers are usually back. In an outage of the table requests that find no tokens are told when the ceiling will cover them, instead of 50 ms.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -207,8 +207,11 @@
   logReservationRefusal(Reservation.error(), MaxTokens, Now);
   if (Reservation.error() == budget::EscrowRefusal::Spent)
     refuse(RefusalReason::BudgetSpent);
-  else if (Reservation.error() == budget::EscrowRefusal::TableUnreachable ||
-           Reservation.error() == budget::EscrowRefusal::NotLoaded)
+  else if (Reservation.error() == budget::EscrowRefusal::TableUnreachable)
+    refuse(
+        RefusalReason::NoSliceTableUnreachable,
+        Context_.Escrow_.timeUntilCovered(Account_->Account_, MaxTokens, Now));
+  else if (Reservation.error() == budget::EscrowRefusal::NotLoaded)
     refuse(RefusalReason::NoSliceTableUnreachable);
   else
     refuse(RefusalReason::NoSliceTableUnreachable, TokensElsewhereRetryAfter);
--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -174,6 +174,13 @@
   void settle(const base::AccountId &Account, base::Tokens Bound,
               base::Tokens Spent, base::TimePoint Now);
 
+  /// Returns the time until this router may spend \p Bound more tokens if the
+  /// table stays unreachable and no request comes in between; nothing if its
+  /// slice does not cover them.
+  std::optional<std::chrono::milliseconds>
+  timeUntilCovered(const base::AccountId &Account, base::Tokens Bound,
+                   base::TimePoint Now) const;
+
   /// Whether the caller should read all rows now and pass them to onRows().
   bool needsRows(base::TimePoint Now) const;
   /// Takes the result of reading all rows. The read was sent at \p AskedAt and
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -83,6 +83,25 @@
 /// Delay of a scarce budget's rate and spread. Exceeds the longest restart
 /// after a crash or a power loss: restarts take 0.5 to 2.1 s.
 constexpr milliseconds ScarceCeilingDelay{2200};
+/// An account is limited if its unspent tokens last for less than this at the
+/// current demand: it will run out soon enough for stranded tokens to be
+/// missed.
+constexpr std::chrono::duration<double> LimitedTime{30.0};
+/// Time for which the burst of a limited account covers the expected demand:
+/// about the interval between two checkpoints.
+constexpr std::chrono::duration<double> LimitedBurstTime{0.5};
+/// Replaces SpreadFactor in the burst of a limited account. It is lower because
+/// a request beyond the burst causes a checkpoint, for which it can wait.
+constexpr double LimitedSpreadFactor = 0.5;
+/// Replaces CeilingFactor for a limited account. The higher factor makes up for
+/// LimitedCeilingDelay over a table outage of the usual 8 s.
+constexpr double LimitedCeilingFactor = 1.4;
+/// Delay of a limited account's rate and spread. Exceeds the time in which
+/// routers are usually back after a crash or a power loss, so that the time in
+/// the dark strands nothing.
+constexpr milliseconds LimitedCeilingDelay{2500};
+/// Longest wait for a ceiling that timeUntilCovered() states.
+constexpr milliseconds MaxCeilingWait{10000};
 /// Weight of the mean demand of all routers in a router's demand estimate, as
 /// observation time: a router without requests so far may soon receive some.
 constexpr std::chrono::duration<double> PriorTime{1.5};
@@ -707,41 +726,63 @@
         SizeWeight * (Size * Size - State.MeanSquaredSize_);
   }
 
+  /// How much a router may spend between two checkpoints, apart from the bounds
+  /// that the slice and refused requests set.
+  struct CeilingPolicy {
+    double MinBurst_ = 0;
+    /// Multiple of the expected demand that may be spent after the delay.
+    double Factor_ = CeilingFactor;
+    milliseconds Delay_{0};
+  };
+
+  /// The less is left of an account, the less may its ceilings strand.
+  CeilingPolicy ceilingPolicy(const AccountState &State, double Demand,
+                              base::TimePoint Now) const {
+    if (lastsLessThan(ScarceTime, State, Now))
+      return {ScarceBurstShare * static_cast<double>(State.Prepaid_) *
+                  demandShare(State, Now),
+              ScarceCeilingFactor, ScarceCeilingDelay};
+    double MinBurst =
+        std::min(MinBurstTokens, MinBurstShare / static_cast<double>(Routers_) *
+                                     static_cast<double>(unspent(State)));
+    if (!lastsLessThan(LimitedTime, State, Now))
+      return {MinBurst};
+    double Expected = Demand * LimitedBurstTime.count();
+    double Deviation = std::sqrt(Expected * varianceRatio(State));
+    return {MinBurst + CeilingFactor * Expected +
+                LimitedSpreadFactor * Deviation,
+            LimitedCeilingFactor, LimitedCeilingDelay};
+  }
+
   /// Returns the checkpoint to write when \p Granted tokens are granted.
   Checkpoint nextCheckpoint(const AccountState &State, std::int64_t Granted,
                             base::TimePoint Now) const {
     std::int64_t Remaining = std::max<std::int64_t>(0, Granted - State.used());
-    double Demand = expectedDemand(State, Now);
-    double MinBurst =
-        std::min(MinBurstTokens, MinBurstShare / static_cast<double>(Routers_) *
-                                     static_cast<double>(unspent(State)));
     Checkpoint Next;
     Next.Used_ = State.used();
     Next.At_ = tableTime(Now);
     // A closing escrow reserves no more tokens.
     if (Closing_)
       return Next;
-    bool Scarce = isScarce(State, Now);
-    if (Scarce)
-      MinBurst = ScarceBurstShare * static_cast<double>(State.Prepaid_) *
-                 demandShare(State, Now);
-    Next.Burst_ =
-        std::min(Remaining, std::max(static_cast<std::int64_t>(MinBurst),
-                                     State.RefusedBound_));
+    double Demand = expectedDemand(State, Now);
+    CeilingPolicy Policy = ceilingPolicy(State, Demand, Now);
+    Next.Burst_ = std::min(Remaining,
+                           std::max(static_cast<std::int64_t>(Policy.MinBurst_),
+                                    State.RefusedBound_));
     Next.RatePerSecond_ = static_cast<std::int64_t>(std::ceil(
-        std::max((Scarce ? ScarceCeilingFactor : CeilingFactor) * Demand,
+        std::max(Policy.Factor_ * Demand,
                  static_cast<double>(Remaining) / MinRateDrainSeconds)));
     Next.Spread_ = static_cast<std::int64_t>(
         std::ceil(SpreadFactor * std::sqrt(Demand * varianceRatio(State))));
-    Next.Delay_ = Scarce ? ScarceCeilingDelay : milliseconds(0);
+    Next.Delay_ = Policy.Delay_;
     return Next;
   }
 
-  /// Whether the budget ends within `ScarceTime` at the current demand.
-  static bool isScarce(const AccountState &State, base::TimePoint Now) {
+  /// Whether the budget ends within \p Span at the current demand.
+  static bool lastsLessThan(std::chrono::duration<double> Span,
+                            const AccountState &State, base::TimePoint Now) {
     double DemandOfAll = demand(State, Now) + State.DemandOfOthers_;
-    return static_cast<double>(unspent(State)) <
-           ScarceTime.count() * DemandOfAll;
+    return static_cast<double>(unspent(State)) < Span.count() * DemandOfAll;
   }
 
   base::Duration checkpointInterval() const {
@@ -955,12 +996,11 @@
     State.Inherited_ =
         std::min(Row->Granted_, Row->Checkpoint_.ceiling(EndedBy));
     State.ConfirmedCheckpoint_.reset();
-    Takeovers_.push_back({Account, base::Tokens(Row->Granted_),
-                          base::Tokens(Row->Checkpoint_.Used_),
-                          base::Tokens(State.Inherited_),
-                          base::Tokens(Row->Reserved_),
-                          base::Tokens(Row->Checkpoint_.Burst_),
-                          EndedBy - Row->Checkpoint_.At_});
+    Takeovers_.push_back(
+        {Account, base::Tokens(Row->Granted_),
+         base::Tokens(Row->Checkpoint_.Used_), base::Tokens(State.Inherited_),
+         base::Tokens(Row->Reserved_), base::Tokens(Row->Checkpoint_.Burst_),
+         EndedBy - Row->Checkpoint_.At_});
     inheritDemand(State, Row->TokensPerSecond_, Now);
   }
 
@@ -1265,6 +1305,22 @@
   Impl::addDemand(State, Spent.count() - Bound.count(), Now);
 }
 
+std::optional<milliseconds>
+Escrow::timeUntilCovered(const base::AccountId &Account, base::Tokens Bound,
+                         base::TimePoint Now) const {
+  auto Found = Impl_->Accounts_.find(Account);
+  if (Found == Impl_->Accounts_.end())
+    return std::nullopt;
+  const AccountState &State = Found->second;
+  if (State.Granted_ - State.used() < Bound.count())
+    return std::nullopt;
+  constexpr milliseconds Step{50};
+  for (milliseconds Wait{0}; Wait <= MaxCeilingWait; Wait += Step)
+    if (Impl_->available(State, Now + Wait) >= Bound.count())
+      return Wait;
+  return std::nullopt;
+}
+
 bool Escrow::needsRows(base::TimePoint Now) const {
   if (!Impl_->Loaded_ || !Impl_->RowsSeen_ || !Impl_->RowsInEra_)
     return true;
