Keep more of a budget for urgent requests after power losses

What kills have stranded, published in the slice rows, now enlarges the reserve, to 5% of the budget at most, and what is above the usual reserve is spent at a thirtieth a second.

UrgentRequestsAreServedLongAfterKillsThatStrandedTokens fails without the change. PowerLossTest stays red, as its requests are not urgent.

--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -76,7 +76,8 @@
               {"delay", Value.Checkpoint_.Delay_.count()},
               {"at", Value.Checkpoint_.At_.count()},
               {"demand", Value.TokensPerSecond_},
-              {"reserved", Value.Reserved_}}
+              {"reserved", Value.Reserved_},
+              {"stranded", Value.Stranded_}}
       .dump();
 }
 
@@ -105,7 +106,8 @@
                    std::chrono::milliseconds(*Delay),
                    std::chrono::milliseconds(*At)},
                   integerField(*Parsed, "demand").value_or(0),
-                  integerField(*Parsed, "reserved").value_or(0)};
+                  integerField(*Parsed, "reserved").value_or(0),
+                  integerField(*Parsed, "stranded").value_or(0)};
 }
 
 std::string encodeTotal(std::int64_t Granted) {
--- a/libs/budget/src/escrow-rows.h
+++ b/libs/budget/src/escrow-rows.h
@@ -54,6 +54,9 @@
   std::int64_t TokensPerSecond_ = 0;
   /// Tokens among `Checkpoint_.Used_` that were only reserved.
   std::int64_t Reserved_ = 0;
+  /// Tokens among `Checkpoint_.Used_` that count as spent only because a
+  /// previous process might have spent them.
+  std::int64_t Stranded_ = 0;
 
   /// Granted tokens above the ceiling at \p TableTime, which are certainly
   /// unspent.
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -35,6 +35,9 @@
 /// value per token. The reserve stays in the table, where no killed router
 /// strands it.
 constexpr double UrgentReserveShare = 0.012;
+/// Largest urgent reserve, as a fraction of the budget, when kills of routers
+/// have stranded tokens.
+constexpr double MaxUrgentReserveShare = 0.05;
 /// Time over which the urgent reserve is spent, so that some urgent requests
 /// are served throughout.
 constexpr std::chrono::duration<double> UrgentSpendTime{30.0};
@@ -157,6 +160,8 @@
   std::int64_t Granted_ = 0;
   /// Tokens counted as spent by previous processes on this host.
   std::int64_t Inherited_ = 0;
+  /// Tokens among `Inherited_` that may not have been spent.
+  std::int64_t Stranded_ = 0;
   std::int64_t Spent_ = 0;
   std::int64_t Reserved_ = 0;
   /// Checkpoint that the table is known to hold.
@@ -312,9 +317,15 @@
     return State.Prepaid_ - State.GrantedToAll_;
   }
 
-  static std::int64_t urgentReserve(const AccountState &State) {
-    return static_cast<std::int64_t>(UrgentReserveShare *
-                                     static_cast<double>(State.Prepaid_));
+  /// Tokens that only urgent requests may draw. What kills of routers stranded
+  /// is missing from the end of the budget; urgent requests go short last.
+  std::int64_t urgentReserve(const AccountState &State) const {
+    auto Prepaid = static_cast<double>(State.Prepaid_);
+    double Stranded =
+        static_cast<double>(State.Stranded_) * static_cast<double>(Routers_);
+    return static_cast<std::int64_t>(
+        std::min(UrgentReserveShare * Prepaid + Stranded,
+                 MaxUrgentReserveShare * Prepaid));
   }
 
   static void addReservation(AccountState &State, std::int64_t Tokens,
@@ -331,7 +342,10 @@
   bool takeUrgentAllowance(AccountState &State, std::int64_t Tokens,
                            base::TimePoint Now) const {
     std::chrono::duration<double> Since = Now - State.UrgentAllowanceAt_;
-    double Rate = static_cast<double>(urgentReserve(State)) /
+    double Least = UrgentReserveShare * static_cast<double>(State.Prepaid_);
+    auto Left =
+        static_cast<double>(std::min(undrawn(State), urgentReserve(State)));
+    double Rate = std::max(Least, Left) /
                   (UrgentSpendTime.count() * static_cast<double>(Routers_));
     State.UrgentAllowance_ = std::min(
         UrgentBurstTokens, State.UrgentAllowance_ + Rate * Since.count());
@@ -350,8 +364,9 @@
 
   /// The part of all unspent tokens that this router should hold.
   double targetTokens(const AccountState &State, base::TimePoint Now) const {
-    return HeldShare * static_cast<double>(unspent(State)) *
-           demandShare(State, Now);
+    std::int64_t Spendable =
+        std::max<std::int64_t>(0, unspent(State) - urgentReserve(State));
+    return HeldShare * static_cast<double>(Spendable) * demandShare(State, Now);
   }
 
   /// This router's share of all routers' demand. Never zero: every router is
@@ -878,9 +893,9 @@
     Change.Conditions_.push_back({Key, State.SliceVersion_});
     Change.Writes_.push_back(
         {std::move(Key),
-         detail::encodeSlice({Settings_.Incarnation_.str(), Granted,
-                              *State.PendingCheckpoint_,
-                              publishedDemand(State, Now), State.Reserved_})});
+         detail::encodeSlice(
+             {Settings_.Incarnation_.str(), Granted, *State.PendingCheckpoint_,
+              publishedDemand(State, Now), State.Reserved_, State.Stranded_})});
     std::string Total = key(detail::totalKey(Account));
     // Routers that open the account must not miss a slice that is being written
     // again.
@@ -995,6 +1010,8 @@
     milliseconds EndedBy = MaxStartTime_.value_or(TableTime_);
     State.Inherited_ =
         std::min(Row->Granted_, Row->Checkpoint_.ceiling(EndedBy));
+    State.Stranded_ =
+        Row->Stranded_ + State.Inherited_ - Row->Checkpoint_.Used_;
     State.ConfirmedCheckpoint_.reset();
     Takeovers_.push_back(
         {Account, base::Tokens(Row->Granted_),
@@ -1274,7 +1291,7 @@
   }
   std::int64_t Missing = Requested - (State.Granted_ - State.used());
   bool NeedsUrgentReserve =
-      Impl::undrawn(State) - Missing < Impl::urgentReserve(State);
+      Impl::undrawn(State) - Missing < Impl_->urgentReserve(State);
   bool HasUrgentAllowance = State.RefusedUrgentBound_ >= Requested;
   if (Urgent && NeedsUrgentReserve &&
       (HasUrgentAllowance || Impl_->takeUrgentAllowance(State, Requested, Now)))
@@ -1290,7 +1307,7 @@
     return base::failure(EscrowRefusal::TableUnreachable);
   if (RowsFresh && NeedsUrgentReserve &&
       State.RefusedUrgentBound_ < Requested &&
-      Impl::unspent(State) - Requested < Impl::urgentReserve(State))
+      Impl::unspent(State) - Requested < Impl_->urgentReserve(State))
     return base::failure(EscrowRefusal::KeptForUrgent);
   if (RowsFresh && NeedsUrgentReserve && State.RefusedUrgentBound_ < Requested)
     return base::failure(EscrowRefusal::HeldByOthers);
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -841,6 +841,47 @@
   EXPECT_GT(World_.maxConsumed(), Before);
 }
 
+/// Guards against budgets whose end is spent before service can come back: what
+/// kills have stranded is missing first from what less urgent requests may use.
+TEST_F(EscrowTest, UrgentRequestsAreServedLongAfterKillsThatStrandedTokens) {
+  World_.runWithoutFaults(500ms);
+  auto SpendAll = [&] {
+    for (int Call = 0; Call < 800; ++Call) {
+      Host &Target = World_.host(static_cast<std::size_t>(Call));
+      for (std::int64_t Bound : {4000, 400}) {
+        World_.reserve(Target, Bound, false);
+        World_.settle(Target, true);
+      }
+      World_.runWithoutFaults(50ms);
+    }
+  };
+  for (int Call = 0; Call < 160; ++Call) {
+    World_.reserve(World_.host(static_cast<std::size_t>(Call)), 2000, false);
+    World_.settle(World_.host(static_cast<std::size_t>(Call)), true);
+    World_.runWithoutFaults(50ms);
+  }
+  World_.advance(8s);
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    World_.kill(World_.host(Index));
+  World_.runWithoutFaults(1s);
+  SpendAll();
+  // Urgent requests at all routers, for longer than the reserve lasts without a
+  // kill.
+  auto ServeUrgent = [&](std::chrono::milliseconds Span) {
+    std::int64_t Before = World_.maxConsumed();
+    for (auto Elapsed = 0ms; Elapsed < Span; Elapsed += 200ms) {
+      for (std::size_t Index = 0; Index < 4; ++Index) {
+        World_.reserve(World_.host(Index), 1000);
+        World_.settle(World_.host(Index), true);
+      }
+      World_.runWithoutFaults(200ms);
+    }
+    return World_.maxConsumed() - Before;
+  };
+  ServeUrgent(30s);
+  EXPECT_GT(ServeUrgent(5s), 0);
+}
+
 TEST_F(EscrowTest, WaitForACeilingIsStatedAsLongAsItTakes) {
   World_.runWithoutFaults(1s);
   Host &Target = World_.host(0);
