--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -132,6 +132,7 @@
                  {{"endpoint", Entry.Endpoint_.str()},
                   {"pool", Entry.Pool_.str()},
                   {"address", base::toString(Entry.Address_)},
+                  {"software", Entry.SoftwareVersion_},
                   {"slots", Entry.Slots_}});
   }
 }
--- a/libs/direct/include/camphorwind/direct/endpoint-list.h
+++ b/libs/direct/include/camphorwind/direct/endpoint-list.h
@@ -28,6 +28,9 @@
   /// Identifies one start of an endpoint, since the endpoint id survives
   /// restarts; empty if unknown.
   std::string StartId_;
+  /// Version of the endpoint's software. What two versions write for one
+  /// request does not fit together.
+  std::string SoftwareVersion_;
 
   friend bool operator==(const ListedEndpoint &,
                          const ListedEndpoint &) = default;
--- a/libs/direct/include/camphorwind/direct/headers.h
+++ b/libs/direct/include/camphorwind/direct/headers.h
@@ -30,6 +30,9 @@
   /// Parts of the prompt as a comma-separated list of `ID:TOKENS`.
   std::string PromptParts_ = "X-Prompt-Parts";
   std::string LastEventId_ = "Last-Event-ID";
+  /// Id of the caller's attempt that brought the first event of the stream that
+  /// this request goes on with.
+  std::string ResumedAttempt_ = "X-Resumed-Attempt";
   std::string Account_ = "X-Account";
   /// Id of the endpoint that the request is for; any other instance refuses the
   /// request.
@@ -64,6 +67,8 @@
   std::string ApiKey_;
   std::string Model_;
   std::optional<std::uint64_t> LastEventId_;
+  /// Empty if absent.
+  std::string ResumedAttempt_;
   /// Whether PromptTokens_ and MaxOutputTokens_ were sent.
   bool HasTokenBounds_ = false;
   base::Tokens PromptTokens_;
--- a/libs/direct/src/headers.cpp
+++ b/libs/direct/src/headers.cpp
@@ -138,6 +138,8 @@
         Value && *Value >= 0)
       Metadata.TimeLeft_ =
           std::min(std::chrono::milliseconds(*Value), MaxTimeLeft);
+  Metadata.ResumedAttempt_ =
+      std::string(Headers.find(Names.ResumedAttempt_).value_or(""));
   if (auto FieldValue = Headers.find(Names.LastEventId_))
     Metadata.LastEventId_ = parseNumber<std::uint64_t>(*FieldValue);
   if (auto FieldValue = Headers.find(Names.TokenBounds_)) {
