Failing test: streams joined from two software versions

SoftwareVersionTest breaks a stream after its first event while endpoints of other versions are listed. The router resumes it there by itself, and a caller that takes it up is sent there, although both the list and the caller's request tell the version.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -300,13 +300,15 @@
   }
 
   void list(const std::string &Id, const base::Address &Address,
-            const std::string &Domain = "here") {
+            const std::string &Domain = "here",
+            const std::string &Software = "v1") {
     ListedEndpoint Entry;
     Entry.Endpoint_ = base::EndpointId(Id);
     Entry.Pool_ = base::PoolId("pool");
     Entry.Address_ = Address;
     Entry.Domain_ = base::FailureDomainId(Domain);
     Entry.Slots_ = 8;
+    Entry.SoftwareVersion_ = Software;
     Router_->endpoints().put(Entry, Loop_->now());
     Router_->endpointsChanged();
   }
@@ -840,6 +842,100 @@
 }
 
 /// How a request that crashes endpoints comes again.
+struct SoftwareVersionCase {
+  std::string_view Name_;
+  /// Who goes on with the broken stream: the caller, or the router by itself.
+  bool CallerTakesUp_ = false;
+  /// The router does not know the attempt that the caller names.
+  bool UnknownAttempt_ = false;
+  /// Versions of the endpoints other than the first, which is of v1.
+  std::vector<std::string> Others_;
+  /// The endpoint that began the stream is gone when it is taken up.
+  bool FirstGone_ = true;
+  /// Whether the stream can go on.
+  bool GoesOn_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out, const SoftwareVersionCase &Value) {
+  return Out << Value.Name_;
+}
+
+class SoftwareVersionTest
+    : public DirectRouterTest,
+      public testing::WithParamInterface<SoftwareVersionCase> {};
+
+/// Guards against streams that are joined from the output of two software
+/// versions: by the router that resumes a broken stream, or for a caller that
+/// takes one up.
+TEST_P(SoftwareVersionTest, StreamGoesOnOnlyAtTheVersionThatBeganIt) {
+  const SoftwareVersionCase &Case = GetParam();
+  configure(RequestKind::Stream, true);
+  addEndpoint(
+      {EndpointBehavior::TruncatedStream, EndpointBehavior::CompleteStream});
+  auto ListOthers = [&] {
+    for (const std::string &Version : Case.Others_) {
+      Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+      list("e" + std::to_string(Endpoints_.size()),
+           Endpoints_.back()->address(), "far", Version);
+    }
+  };
+  if (!Case.CallerTakesUp_)
+    ListOthers();
+  CallerResponse Response = fetch(makeCall());
+  if (Case.CallerTakesUp_) {
+    EXPECT_FALSE(Response.Complete_);
+    ListOthers();
+    if (Case.FirstGone_) {
+      Router_->endpoints().remove(base::EndpointId("e1"), Loop_->now());
+      Router_->endpointsChanged();
+    }
+    net::OriginRequest TakeUp = makeCall();
+    TakeUp.Headers_ = {
+        {"Host", "shop.example"},
+        {"Authorization", "Bearer secret"},
+        {"X-Attempt-Id", "a2"},
+        {"X-Time-Left-Ms", "2000"},
+        {"Last-Event-ID", "1"},
+        {"X-Resumed-Attempt", Case.UnknownAttempt_ ? "a0" : "a1"}};
+    Response = fetch(std::move(TakeUp));
+    if (!Case.GoesOn_) {
+      EXPECT_EQ(Response.Status_, 503u);
+    }
+  }
+  EXPECT_EQ(Response.Complete_ && Response.Status_ == 200, Case.GoesOn_);
+  for (std::size_t Index = 0; Index < Case.Others_.size(); ++Index) {
+    if (Case.Others_[Index] != "v1") {
+      EXPECT_TRUE(Endpoints_[Index + 1]->Requests_.empty()) << Index;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Streams, SoftwareVersionTest,
+    testing::Values(SoftwareVersionCase{.Name_ = "router_other_version_only",
+                                        .Others_ = {"v2"}},
+                    SoftwareVersionCase{.Name_ = "router_same_version_left",
+                                        .Others_ = {"v2", "v1", "v2"},
+                                        .GoesOn_ = true},
+                    SoftwareVersionCase{.Name_ = "caller_other_version_only",
+                                        .CallerTakesUp_ = true,
+                                        .Others_ = {"v2"}},
+                    SoftwareVersionCase{.Name_ = "caller_same_version_left",
+                                        .CallerTakesUp_ = true,
+                                        .Others_ = {"v2", "v1", "v2"},
+                                        .GoesOn_ = true},
+                    SoftwareVersionCase{.Name_ = "caller_first_endpoint_left",
+                                        .CallerTakesUp_ = true,
+                                        .Others_ = {"v2"},
+                                        .FirstGone_ = false,
+                                        .GoesOn_ = true},
+                    SoftwareVersionCase{.Name_ = "caller_unknown_stream",
+                                        .CallerTakesUp_ = true,
+                                        .UnknownAttempt_ = true,
+                                        .Others_ = {"v1", "v2"},
+                                        .FirstGone_ = false}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 struct DeadlyRequestCase {
   std::string_view Name_;
   RequestKind Kind_ = RequestKind::Idempotent;
