Let streams go on only at the software version that began them

Callers got whole answers whose first part came from one software version and the rest from another: of engines that crashed or were replaced during a release the streams were resumed anywhere. Nothing read the version in the endpoint list, nor the attempt that a caller names when it takes up a stream.

Attempts of a stream that has begun now exclude endpoints of other versions. Which version began a stream is remembered for a minute, and exchanged through a table of the store while a pool has more than one, so that another router and later processes know it too. Where it can't be known the caller is refused as not run.

--- a/daemons/common/refusals.cpp
+++ b/daemons/common/refusals.cpp
@@ -69,6 +69,8 @@
                  "endpoints."};
   case RefusalReason::NoSliceTableUnreachable:
     return {503, "The budget can't be drawn on at the moment."};
+  case RefusalReason::StreamUnknown:
+    return {503, "It is not known which software version began the stream."};
   case RefusalReason::NoEndpoint:
     return {503, "No endpoint is available."};
   case RefusalReason::TicketLapsed:
--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -22,7 +22,7 @@
 
 /// Interval between checks of deadlines, stalled attempts and grace periods.
 constexpr auto TickInterval = 50ms;
-constexpr auto QuarantineSweepInterval = 1s;
+constexpr auto SweepInterval = 1s;
 /// Fraction of an endpoint's connection limit that all routers use together.
 /// The remainder is for routers that overlap with their replacements.
 constexpr double MaxConnectionShare = 0.8;
@@ -76,6 +76,13 @@
   Escrow_.setNote(routing::LimitClaims::encode(Names));
 }
 
+void ForwardingContext::updateStreamVersions() {
+  base::TimePoint Now = Loop_.now();
+  for (const auto &[Id, Each] : Endpoints_.usable())
+    Streams_.markListed(Each.Pool_, Each.SoftwareVersion_, Now);
+  Streams_.sweep(Now);
+}
+
 void ForwardingContext::endpointLeaving(const base::EndpointId &Id) {
   Endpoints_.markLeaving(Id);
   applyEndpointChanges();
@@ -128,6 +135,7 @@
                           cacheTokens(Entry.Pool_)},
                          Now);
     limitConnections(Entry);
+    Streams_.markListed(Entry.Pool_, Entry.SoftwareVersion_, Now);
     observe::log(LogLevel::Info, "endpoint_usable",
                  {{"endpoint", Entry.Endpoint_.str()},
                   {"pool", Entry.Pool_.str()},
@@ -240,9 +248,10 @@
       Each->tick(Now);
     if (Context_.Loans_)
       Context_.Loans_->tick();
-    if (Now - QuarantineSweptAt_ >= QuarantineSweepInterval) {
-      QuarantineSweptAt_ = Now;
+    if (Now - SweptAt_ >= SweepInterval) {
+      SweptAt_ = Now;
       Context_.Quarantine_.sweep(Now);
+      Context_.updateStreamVersions();
     }
     Context_.quarantineChanged();
     Context_.updateClaims();
@@ -326,7 +335,7 @@
   net::Timer Tick_;
   std::size_t Routers_ = 1;
   std::optional<base::TimePoint> ClaimsReadAt_;
-  base::TimePoint QuarantineSweptAt_{};
+  base::TimePoint SweptAt_{};
   bool LoggedReady_ = false;
   base::TimePoint StopRequestedAt_{};
   std::function<void()> OnStopped_;
@@ -420,6 +429,10 @@
     Context.Quarantine_.addSound(Each, Now);
   Context.quarantineChanged();
 }
+StreamVersions &DirectRouter::streams() { return Inner_->Context_.Streams_; }
+void DirectRouter::onStreamLookup(StreamLookup Lookup) {
+  Inner_->Context_.FindStream_ = std::move(Lookup);
+}
 observe::Metrics &DirectRouter::metrics() { return Inner_->Context_.Metrics_; }
 bool DirectRouter::ready() const { return Inner_->ready(); }
 void DirectRouter::stop(std::function<void()> OnStopped) {
--- a/daemons/direct/direct-router.h
+++ b/daemons/direct/direct-router.h
@@ -7,6 +7,7 @@
 #include "camphorwind/base/result.h"
 #include "camphorwind/budget/escrow.h"
 #include "camphorwind/direct/endpoint-list.h"
+#include "camphorwind/direct/stream-versions.h"
 #include "camphorwind/direct/view.h"
 #include "camphorwind/net/loop.h"
 #include "camphorwind/observe/metrics.h"
@@ -16,6 +17,11 @@
 
 namespace camphorwind::direct {
 
+/// Adds the stream whose first event an attempt brought to the router's
+/// streams, if the table has it, and calls back.
+using StreamLookup =
+    std::function<void(const std::string &Attempt, std::function<void()>)>;
+
 /// Forwards callers' requests to endpoints. The owner supplies the
 /// configuration, the list of endpoints and the rows of the budget table.
 class DirectRouter {
@@ -53,6 +59,12 @@
   CrashReports takeCrashReports();
   void addCrashReports(const CrashReports &Reports);
 
+  /// Which software versions began streams. The owner exchanges it with other
+  /// routers and later processes.
+  StreamVersions &streams();
+  /// Sets how streams are found that this router did not begin.
+  void onStreamLookup(StreamLookup Lookup);
+
   observe::Metrics &metrics();
   /// Whether the configuration, the endpoint list and the budget table are
   /// loaded and no stop was requested.
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -26,6 +26,9 @@
 /// Retry-After when only other routers hold enough tokens: the time in which
 /// they return tokens that they do not need.
 constexpr milliseconds TokensElsewhereRetryAfter = 1500ms;
+/// Retry-After when it is not known which version began a stream: the time in
+/// which the router that knows writes it to the table.
+constexpr milliseconds StreamUnknownRetryAfter = 300ms;
 /// Maximum number of attempts per request, including those that reached no
 /// endpoint.
 constexpr unsigned MaxSends = 4;
@@ -126,7 +129,50 @@
                    Body_ ? std::string_view(*Body_) : ""});
   Suspects_ = routing::suspectsIn(prompt(), Fingerprint_);
   Context_.poolState(Pool_).Retries_.addRequest(WholeAt_);
-  if (!refuseQuarantined() && reserveTokens())
+  if (!refuseQuarantined() && resolveStream() && reserveTokens())
+    placeAttempt();
+}
+
+bool ForwardedRequest::resolveStream() {
+  if (Route_->Kind_ != RequestKind::Stream ||
+      RequestMetadata_.LastEventId_.value_or(0) == 0 || useStreamOrigin())
+    return true;
+  if (!Context_.FindStream_ || RequestMetadata_.ResumedAttempt_.empty()) {
+    refuse(RefusalReason::StreamUnknown, StreamUnknownRetryAfter);
+    return false;
+  }
+  Context_.FindStream_(RequestMetadata_.ResumedAttempt_,
+                       [Weak = weak_from_this()] {
+                         if (auto Self = Weak.lock())
+                           Self->onStreamLookup();
+                       });
+  return false;
+}
+
+bool ForwardedRequest::useStreamOrigin() {
+  const StreamOrigin *Origin =
+      Context_.Streams_.find(RequestMetadata_.ResumedAttempt_);
+  if (!Origin) {
+    Software_ = Context_.Streams_.onlyVersion(Pool_, WholeAt_);
+    return Software_.has_value();
+  }
+  Software_ = Origin->Software_;
+  // A route may have several pools; the stream goes on in its own.
+  for (const RouteTarget &Each : Route_->Targets_) {
+    if (Each.Pool_ != Origin->Pool_)
+      continue;
+    Pool_ = Each.Pool_;
+    PoolConfig_ = View_->findPool(Pool_);
+  }
+  return true;
+}
+
+void ForwardedRequest::onStreamLookup() {
+  if (Finished_)
+    return;
+  if (!useStreamOrigin())
+    refuse(RefusalReason::StreamUnknown, StreamUnknownRetryAfter);
+  else if (reserveTokens())
     placeAttempt();
 }
 
@@ -280,7 +326,18 @@
     placeAttempt();
 }
 
-routing::PlacementRequest ForwardedRequest::makePlacementRequest() const {
+std::vector<base::EndpointId> ForwardedRequest::excludedEndpoints() const {
+  std::vector<base::EndpointId> Excluded = Tried_;
+  if (!Software_)
+    return Excluded;
+  for (const auto &[Id, Each] : Context_.Endpoints_.usable())
+    if (Each.Pool_ == Pool_ && Each.SoftwareVersion_ != *Software_)
+      Excluded.push_back(Id);
+  return Excluded;
+}
+
+routing::PlacementRequest ForwardedRequest::makePlacementRequest(
+    std::span<const base::EndpointId> Excluded) const {
   routing::PlacementRequest PlacementRequest;
   PlacementRequest.Prompt_ = prompt();
   PlacementRequest.PromptTokens_ =
@@ -290,7 +347,7 @@
   PlacementRequest.BodyBytes_ = Body_ ? Body_->size() : 0;
   PlacementRequest.FirstByteObjective_ = Route_->FirstByteObjective_;
   PlacementRequest.Deadline_ = Deadline_;
-  PlacementRequest.Excluded_ = Tried_;
+  PlacementRequest.Excluded_ = Excluded;
   return PlacementRequest;
 }
 
@@ -313,7 +370,8 @@
   if (refuseQuarantined())
     return;
   base::TimePoint Now = Context_.Loop_.now();
-  routing::PlacementRequest PlacementRequest = makePlacementRequest();
+  std::vector<base::EndpointId> Excluded = excludedEndpoints();
+  routing::PlacementRequest PlacementRequest = makePlacementRequest(Excluded);
   auto Placement =
       Context_.poolState(Pool_).Selector_.choose(PlacementRequest, Now);
   if (!Placement) {
@@ -536,6 +594,7 @@
   if (!StreamStarted_) {
     StreamStarted_ = true;
     FirstByteAt_ = Context_.Loop_.now();
+    rememberStream();
     Context_.Metrics_.observe("first_event_seconds",
                               *FirstByteAt_ - ArrivedAt_);
     Exchange_->startStream(Attempt_.Status_, Attempt_.Headers_);
@@ -552,6 +611,15 @@
   });
 }
 
+void ForwardedRequest::rememberStream() {
+  // A stream that was taken up is remembered by the attempt that began it.
+  if (Software_)
+    return;
+  Software_ = Attempt_.Target_.SoftwareVersion_;
+  Context_.Streams_.began(
+      {RequestMetadata_.AttemptId_, Pool_, *Software_, *FirstByteAt_});
+}
+
 void ForwardedRequest::onEnd(
     const base::Result<void, net::OriginError> &Result) {
   if (Finished_)
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -78,6 +78,13 @@
   /// Whether the configuration source has been unreachable for so long that
   /// routes or keys may have been added unseen.
   bool viewMayBeStale() const;
+  /// Finds the software version at which a stream that the caller takes up has
+  /// to go on. Returns false if the request was refused or waits for the table.
+  bool resolveStream();
+  /// Uses what is known of the stream; returns whether that is enough.
+  bool useStreamOrigin();
+  /// Handles the end of a lookup in the table.
+  void onStreamLookup();
   /// Reserves the request's maximum number of tokens. Returns false if the
   /// request has to wait for tokens or was refused.
   bool reserveTokens();
@@ -92,7 +99,11 @@
   void placeAttempt();
   void sendAttempt(const routing::Placement &Placement,
                    const routing::PlacementRequest &PlacementRequest);
-  routing::PlacementRequest makePlacementRequest() const;
+  /// Lists the endpoints that must not get the next attempt: those of earlier
+  /// attempts, and those of other software versions than the stream's.
+  std::vector<base::EndpointId> excludedEndpoints() const;
+  routing::PlacementRequest
+  makePlacementRequest(std::span<const base::EndpointId> Excluded) const;
   net::HttpHeaders attemptHeaders(const ListedEndpoint &Target,
                                   const routing::Placement &Placement);
 
@@ -105,6 +116,8 @@
   void applyRequestLimit(const ResponseMetadata &Response, base::TimePoint Now);
   void onBody(std::string_view Data);
   void onEvents(const std::string &Events);
+  /// Remembers which software version has sent the first event.
+  void rememberStream();
   /// Ends an attempt whose response is larger than any may be.
   void onOversized();
   void onEnd(const base::Result<void, net::OriginError> &Result);
@@ -190,6 +203,9 @@
   routing::Placement Placement_;
   Attempt Attempt_;
   bool AttemptActive_ = false;
+  /// Software version at which the stream has begun, so that it may go on only
+  /// there; unset before its first event.
+  std::optional<std::string> Software_;
   /// Endpoints of all attempts so far.
   std::vector<base::EndpointId> Tried_;
   /// Number of attempts that an endpoint may have received.
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -3,11 +3,13 @@
 
 #include "crash-reports.h"
 #include "crash-watch.h"
+#include "direct-router.h"
 #include "settings.h"
 
 #include "camphorwind/base/random.h"
 #include "camphorwind/budget/escrow.h"
 #include "camphorwind/direct/endpoint-list.h"
+#include "camphorwind/direct/stream-versions.h"
 #include "camphorwind/direct/view.h"
 #include "camphorwind/net/loop.h"
 #include "camphorwind/net/origin-client.h"
@@ -42,7 +44,8 @@
   ForwardingContext(net::Loop &EventLoop, DirectSettings Settings,
                     budget::Escrow Escrow)
       : Loop_(EventLoop), Settings_(std::move(Settings)),
-        Origins_(EventLoop, {}), Escrow_(std::move(Escrow)),
+        Streams_(EventLoop.now()), Origins_(EventLoop, {}),
+        Escrow_(std::move(Escrow)),
         Crashes_(EventLoop, [this](const ListedEndpoint &Endpoint,
                                    const routing::CrashReport &Report) {
           endpointCrashed(Endpoint, Report);
@@ -66,6 +69,8 @@
                        const routing::CrashReport &Report);
   /// Logs the changes of Quarantine_, and has reports for other routers sent.
   void quarantineChanged();
+  /// Notes which software versions serve, and forgets old ones.
+  void updateStreamVersions();
   /// Takes the changes of Endpoints_ over into the pools.
   void applyEndpointChanges();
   /// Whether a request that arrives now is refused because of a stop.
@@ -87,6 +92,9 @@
   DirectSettings Settings_;
   ViewHolder View_;
   EndpointList Endpoints_;
+  StreamVersions Streams_;
+  /// Looks a stream up in the table; may be empty.
+  StreamLookup FindStream_;
   std::unordered_map<base::PoolId, PoolState> Pools_;
   net::OriginClient Origins_;
   budget::Escrow Escrow_;
--- a/libs/base/include/camphorwind/base/reasons.h
+++ b/libs/base/include/camphorwind/base/reasons.h
@@ -38,6 +38,7 @@
   NoSliceTableUnreachable,
   BoundTooLarge,
   NoEndpoint,
+  StreamUnknown,
   EndpointFailed,
   EndpointStalled,
   TicketLapsed,
--- a/libs/base/src/reasons.cpp
+++ b/libs/base/src/reasons.cpp
@@ -54,6 +54,8 @@
     return "no_slice_table_unreachable";
   case RefusalReason::BoundTooLarge:
     return "bound_too_large";
+  case RefusalReason::StreamUnknown:
+    return "stream_unknown";
   case RefusalReason::NoEndpoint:
     return "no_endpoint";
   case RefusalReason::EndpointFailed:
--- a/libs/direct/include/camphorwind/direct/endpoint-list.h
+++ b/libs/direct/include/camphorwind/direct/endpoint-list.h
@@ -97,6 +97,9 @@
   /// Returns the endpoint if it is usable, otherwise null.
   const ListedEndpoint *find(const base::EndpointId &Endpoint) const;
   std::size_t size() const { return Usable_.size(); }
+  const std::map<base::EndpointId, ListedEndpoint> &usable() const {
+    return Usable_;
+  }
   /// Whether replace() was called at least once.
   bool loaded() const { return Loaded_; }
 
