Test: an earlier refusal that is written once more proves nothing

With the earlier id it is dropped and the caller gets the endpoint's answer, without an id the caller gets 502 and no endpoint gets the request a second time.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -488,6 +488,70 @@
 }
 
 /// One stream whose response ends at HTTP level, and what its caller gets.
+/// An earlier refusal that an endpoint writes once more before its answer to
+/// the next request on the connection.
+struct RepeatedRefusalCase {
+  std::string_view Name_;
+  std::string_view Id_;
+  unsigned Status_ = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const RepeatedRefusalCase &Value) {
+  return Out << Value.Name_;
+}
+
+class RepeatedRefusalTest
+    : public DirectRouterTest,
+      public testing::WithParamInterface<RepeatedRefusalCase> {};
+
+/// Guards against callers that are told "not run" of a request that an endpoint
+/// runs, and against a second run of it elsewhere.
+TEST_P(RepeatedRefusalTest, ProvesNothingOfTheNextRequest) {
+  configure(RequestKind::NonIdempotent);
+  auto Refusal = [](std::string_view Id) {
+    std::string Text =
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+        "Content-Length: 0\r\n";
+    if (!Id.empty())
+      Text += "X-Attempt-Id: " + std::string(Id) + "\r\n";
+    return Text + "\r\n";
+  };
+  auto Answer = [](std::string_view Id) {
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(Id) +
+           "\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\nwhole";
+  };
+  auto Ask = [this](const std::string &Id) {
+    net::OriginRequest Request = makeCall();
+    Request.Headers_ = {{"Host", "shop.example"},
+                        {"Authorization", "Bearer secret"},
+                        {"X-Attempt-Id", Id},
+                        {"X-Time-Left-Ms", "2000"}};
+    return fetch(std::move(Request)).Status_;
+  };
+  int Requests = 0;
+  ScriptedEndpoints_.push_back(std::make_unique<net::test::ScriptedPeer>(
+      *Loop_, [&](const std::string &) -> net::test::Reply {
+        if (++Requests == 1)
+          return {Refusal("a1")};
+        // A second endpoint, only once the request has been sent.
+        Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+        list("e1", Endpoints_[0]->address());
+        return {Refusal(GetParam().Id_) + Answer("a2")};
+      }));
+  list("s1", ScriptedEndpoints_[0]->address());
+  EXPECT_EQ(Ask("a1"), 503u);
+  EXPECT_EQ(Ask("a2"), GetParam().Status_);
+  EXPECT_EQ(Requests, 2);
+  EXPECT_EQ(ScriptedEndpoints_[0]->connections(), 1u);
+  EXPECT_EQ(receivedRequests(), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Refusals, RepeatedRefusalTest,
+    testing::Values(RepeatedRefusalCase{"with_its_id", "a1", 200},
+                    RepeatedRefusalCase{"without_id", "", 502}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 struct StreamEndCase {
   std::string_view Name_;
   net::test::Reply Reply_;
