--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -156,14 +156,15 @@
     Software_ = Context_.Streams_.onlyVersion(Pool_, WholeAt_);
     return Software_.has_value();
   }
-  Software_ = Origin->Software_;
   // A route may have several pools; the stream goes on in its own.
-  for (const RouteTarget &Each : Route_->Targets_) {
-    if (Each.Pool_ != Origin->Pool_)
-      continue;
-    Pool_ = Each.Pool_;
-    PoolConfig_ = View_->findPool(Pool_);
-  }
+  auto Target = std::find_if(
+      Route_->Targets_.begin(), Route_->Targets_.end(),
+      [&](const RouteTarget &Each) { return Each.Pool_ == Origin->Pool_; });
+  if (Target == Route_->Targets_.end())
+    return false;
+  Pool_ = Target->Pool_;
+  PoolConfig_ = View_->findPool(Pool_);
+  Software_ = Origin->Software_;
   return true;
 }
 
@@ -616,8 +617,9 @@
   if (Software_)
     return;
   Software_ = Attempt_.Target_.SoftwareVersion_;
-  Context_.Streams_.began(
-      {RequestMetadata_.AttemptId_, Pool_, *Software_, *FirstByteAt_});
+  if (Route_->Resumable_)
+    Context_.Streams_.began(
+        {RequestMetadata_.AttemptId_, Pool_, *Software_, *FirstByteAt_});
 }
 
 void ForwardedRequest::onEnd(
