--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -89,7 +89,7 @@
 /// An account is limited if its unspent tokens last for less than this at the
 /// current demand: it will run out soon enough for stranded tokens to be
 /// missed.
-constexpr std::chrono::duration<double> LimitedTime{30.0};
+constexpr std::chrono::duration<double> LimitedTime{20.0};
 /// Time for which the burst of a limited account covers the expected demand:
 /// about the interval between two checkpoints.
 constexpr std::chrono::duration<double> LimitedBurstTime{0.5};
