Bound the counts of reserved and stranded tokens in slice rows

Found by reading the change: the count of stranded tokens enlarges the urgent reserve and was taken from the row unchecked, so that a row of another writer with a negative count made the reserve negative. Both counts are parts of what is used, and are now clamped to that.

--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -100,14 +100,19 @@
   if (*Granted < 0 || *Used < 0 || *Burst < 0 || *Rate < 0 || *Spread < 0 ||
       *Delay < 0)
     return std::nullopt;
+  // Both counts are parts of what is used.
+  auto PartOfUsed = [&](const char *Name) {
+    return std::clamp<std::int64_t>(integerField(*Parsed, Name).value_or(0), 0,
+                                    *Used);
+  };
   return SliceRow{Incarnation->get<std::string>(),
                   *Granted,
                   {*Used, *Burst, *Rate, *Spread,
                    std::chrono::milliseconds(*Delay),
                    std::chrono::milliseconds(*At)},
                   integerField(*Parsed, "demand").value_or(0),
-                  integerField(*Parsed, "reserved").value_or(0),
-                  integerField(*Parsed, "stranded").value_or(0)};
+                  PartOfUsed("reserved"),
+                  PartOfUsed("stranded")};
 }
 
 std::string encodeTotal(std::int64_t Granted) {
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -1011,7 +1011,8 @@
     State.Inherited_ =
         std::min(Row->Granted_, Row->Checkpoint_.ceiling(EndedBy));
     State.Stranded_ =
-        Row->Stranded_ + State.Inherited_ - Row->Checkpoint_.Used_;
+        Row->Stranded_ +
+        std::max<std::int64_t>(0, State.Inherited_ - Row->Checkpoint_.Used_);
     State.ConfirmedCheckpoint_.reset();
     Takeovers_.push_back(
         {Account, base::Tokens(Row->Granted_),
--- a/libs/budget/test/escrow-test.cpp
+++ b/libs/budget/test/escrow-test.cpp
@@ -12,12 +12,14 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
 #include <ostream>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Tests escrows of several routers on a table that loses replies and delays
@@ -159,6 +161,22 @@
       Target.Escrow_->onTransaction(Table_.apply(*Next, Now_), Target.Clock_);
   }
 
+  /// Writes every slice row again with \p Tokens in the field that says how
+  /// many may not have been spent.
+  void setStranded(std::int64_t Tokens) {
+    constexpr std::string_view Field = "\"stranded\":";
+    for (const base::Row &Each : Table_.scan(Now_).Rows_) {
+      std::size_t Begin = Each.Value_.find(Field);
+      if (Begin == std::string::npos)
+        continue;
+      Begin += Field.size();
+      std::string Changed = Each.Value_;
+      Changed.replace(Begin, Changed.find_first_of(",}", Begin) - Begin,
+                      std::to_string(Tokens));
+      Table_.apply({{}, {{Each.Key_, Changed}}}, Now_);
+    }
+  }
+
   void makeCopy() { Table_.makeCopy(); }
   void restoreTable() { Table_.restore(); }
 
@@ -882,6 +900,31 @@
   EXPECT_GT(ServeUrgent(5s), 0);
 }
 
+/// Guards against a slice row of another writer whose count of stranded tokens
+/// is absurd: it must neither free tokens nor reserve more than the maximum.
+TEST_F(EscrowTest, AbsurdCountOfStrandedTokensLeavesTheReserveInBounds) {
+  for (std::int64_t Stranded :
+       {std::numeric_limits<std::int64_t>::min(), std::int64_t(-900'000),
+        std::numeric_limits<std::int64_t>::max()}) {
+    World Tested(Prepaid, 4);
+    Tested.runWithoutFaults(1s);
+    Tested.setStranded(Stranded);
+    for (std::size_t Index = 0; Index < 4; ++Index)
+      Tested.kill(Tested.host(Index));
+    Tested.runWithoutFaults(1s);
+    for (int Call = 0; Call < 1200; ++Call) {
+      Host &Target = Tested.host(static_cast<std::size_t>(Call));
+      for (std::int64_t Bound : {4000, 400, 40}) {
+        Tested.reserve(Target, Bound, false);
+        Tested.settle(Target, true);
+      }
+      Tested.runWithoutFaults(50ms);
+    }
+    EXPECT_LE(Tested.maxConsumed(), Prepaid - Prepaid / 100) << Stranded;
+    EXPECT_GE(Tested.maxConsumed(), Prepaid * 3 / 4) << Stranded;
+  }
+}
+
 TEST_F(EscrowTest, WaitForACeilingIsStatedAsLongAsItTakes) {
   World_.runWithoutFaults(1s);
   Host &Target = World_.host(0);
