--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -22,6 +22,9 @@
 import store as store_module  # noqa: E402
 
 PROGRAM = "target/bin/camphor-host-router"
+# The platform's names of headers, settings and fields, and their values here.
+PLATFORM = json.loads(pathlib.Path(__file__).with_name("platform.json").read_text())
+HEADERS = PLATFORM["headers"]
 HOST = "shop.example"
 STRIDE = 4  # most tokens in one event
 HEARTBEAT_SECONDS = 1.2
@@ -46,7 +49,8 @@
 
 def free_port(count=1):
     """Returns the first of `count` free ports in a row."""
-    for first in range(21000 + os.getpid() % 500 * 20, 32000):
+    start = 21000 + int.from_bytes(os.urandom(2), "big") % 10000
+    for first in [*range(start, 32000), *range(21000, start)]:
         held = []
         try:
             for port in range(first, first + count):
@@ -89,21 +93,13 @@
                  "bind.admin": f"127.0.0.1:{self.admin}",
                  "port_range": f"{self.peers},{self.peers + 3}",
                  "bootstrap": "true", "in_tolerance": "false",
-                 "discovery": "platform", "entry_mode": "vip", "heartbeat_ms": "1200",
-                 "bounds.contact_ms": "3000", "bounds.ack_timeout_ms": "4000",
-                 "bounds.drain_timeout_ms": "2000", "bounds.grace_period_s": "8",
-                 "bounds.loss_slack_ms": "200", "bounds.config_deadline_ms": "2000",
-                 "bounds.budget_ratio": "0.2", "bounds.budget_window_s": "10",
-                 "bounds.budget_slack": "54", "bounds.recovery_s": "12",
-                 "bounds.settle_ms": "1500",
-                 "provider.addr": f"127.0.0.1:{store_port}", "provider.form": "table",
-                 "provider.writes_per_s": "800", "provider.reads_per_s": "2000",
-                 "provider.tx_ms": "5.0", "provider.history_s": "20"}
+                 "discovery": "platform", "entry_mode": "vip", **PLATFORM["settings"],
+                 PLATFORM["store_setting"]: f"127.0.0.1:{store_port}"}
         self._settings.write_text("".join(f"{k}={v}\n" for k, v in lines.items()))
 
     async def start(self):
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", ""),
-                       "CAMPHORWIND_SETTINGS": str(self._settings)}
+                       PLATFORM["settings_variable"]: str(self._settings)}
         self.process = await asyncio.create_subprocess_exec(
             str(REPOSITORY / PROGRAM), cwd=REPOSITORY, env=environment, stdout=self._log,
             stderr=self._log)
@@ -216,13 +212,13 @@
 
     async def _answer(self, request, reader, writer):
         attempt = request.header("attempt-id")
-        headers = {"Attempt-Id": attempt,
-                   "Engine-Load": f"{self.running},0,{self.slots}"}
+        headers = {HEADERS["attempt"]: attempt,
+                   HEADERS["load"]: f"{self.running},0,{self.slots}"}
         if self.state == "draining":
             headers["Server-Leaving"] = "1"
         expected = request.header("expect-instance")
         if expected and expected != self.ident:
-            writer.write(http11.answer(421, {**headers, "Not-Executed": "1"}))
+            writer.write(http11.answer(421, {**headers, HEADERS["not_run"]: "1"}))
             return True
         after = int(request.header("last-event-id") or 0)
         prompt, most = (int(each) for each in request.header("token-usage").split(","))
@@ -237,7 +233,7 @@
                 self._lab.crashes.append(time.monotonic())
                 self._lab.spawn(self.crash_and_come_back(self._lab.crash_seconds))
                 return False
-            headers["Response-Signature"] = f"{self.ident}.{attempt}"
+            headers[HEADERS["signature"]] = f"{self.ident}.{attempt}"
             head = "HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in headers.items())
             head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             writer.write(head.encode())
@@ -353,15 +349,12 @@
         self._version += 3
         self.store.put("op", "config", {
             "version": self._version,
-            "routes": [{"name": "chat", "host": HOST, "prefix": "/chat/", "service": "models",
-                        "kind": "streaming", "attempts": 2, "timeout_ms": 15000,
-                        "goal_ms": 300, "gap_target_ms": 200, "priority": 2, "sticky": True,
-                        "can_resume": True}],
-            "services": [{"name": "models", "health_path": "/healthz", "max_conns": 360,
-                          "engine": {"slots": 64, "kv_capacity": 551016, "stride": STRIDE}}],
+            "routes": [{**PLATFORM["route"], "host": HOST}],
+            "services": [{**PLATFORM["service"],
+                          "engine": {**PLATFORM["service"]["engine"], "stride": STRIDE}}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                        "header_timeout_ms": 5000, "idle_timeout_ms": 10000},
-            "tenants": [{"name": name, "api_keys": [self.keys[name]], "prepaid": prepaid}
+            "tenants": [{"name": name, PLATFORM["keys"]: [self.keys[name]], "prepaid": prepaid}
                         for name, prepaid in self.prepaid.items()]})
 
     def next_attempt(self):
@@ -374,10 +367,11 @@
         `gap` is the longest pause before the client gives the stream up. At `breaks_at`
         the client loses its connection."""
         answer = Answer(self.next_attempt())
-        head = ["POST /chat/2f HTTP/1.1", f"Host: {HOST}", f"Attempt-Id: {answer.attempt}",
+        head = ["POST /chat/2f HTTP/1.1", f"Host: {HOST}", f"{HEADERS['attempt']}: {answer.attempt}",
                 f"Authorization: Bearer {self.keys[tenant]}", "Model: m",
-                f"Token-Usage: {prompt},{output}", f"Time-Budget: {int(patience * 1000)}",
-                "Prompt-Prefix: " + (parts or f"{self._count % 40 + 0xa0:x}:{prompt // 2}")
+                f"{HEADERS['usage']}: {prompt},{output}",
+                f"{HEADERS['time']}: {int(patience * 1000)}",
+                f"{HEADERS['prompt']}: " + (parts or f"{self._count % 40 + 0xa0:x}:{prompt // 2}")
                 + f",{answer.attempt[-6:]}:{prompt - prompt // 2}",
                 "Content-Length: 4"]
         if resumes:
