Look up unknown streams before another version's endpoint gets them

Cause: a router that did not know a stream took the only version that it had listed for the stream's, without a look at the table, however long it had not heard of others. The record shows it: the three routers that reached the store refused, the one that was cut off sent each take-up to v1.

Now an unknown stream is always looked up, and only an answer of the table lets the only version stand. A failed read refuses as not run.

--- a/daemons/direct/direct-router.h
+++ b/daemons/direct/direct-router.h
@@ -18,9 +18,10 @@
 namespace camphorwind::direct {
 
 /// Adds the stream whose first event an attempt brought to the router's
-/// streams, if the table has it, and calls back.
-using StreamLookup =
-    std::function<void(const std::string &Attempt, std::function<void()>)>;
+/// streams, if the table has it, and calls back. The callback receives whether
+/// the table was read; the read begins after the call.
+using StreamLookup = std::function<void(const std::string &Attempt,
+                                        std::function<void(bool TableRead)>)>;
 
 /// Forwards callers' requests to endpoints. The owner supplies the
 /// configuration, the list of endpoints and the rows of the budget table.
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -137,14 +137,16 @@
   if (Route_->Kind_ != RequestKind::Stream ||
       RequestMetadata_.LastEventId_.value_or(0) == 0 || useStreamOrigin())
     return true;
-  if (!Context_.FindStream_ || RequestMetadata_.ResumedAttempt_.empty()) {
+  if (!Context_.FindStream_) {
+    if (useOnlyVersion())
+      return true;
     refuse(RefusalReason::StreamUnknown, StreamUnknownRetryAfter);
     return false;
   }
   Context_.FindStream_(RequestMetadata_.ResumedAttempt_,
-                       [Weak = weak_from_this()] {
+                       [Weak = weak_from_this()](bool TableRead) {
                          if (auto Self = Weak.lock())
-                           Self->onStreamLookup();
+                           Self->onStreamLookup(TableRead);
                        });
   return false;
 }
@@ -152,10 +154,8 @@
 bool ForwardedRequest::useStreamOrigin() {
   const StreamOrigin *Origin =
       Context_.Streams_.find(RequestMetadata_.ResumedAttempt_);
-  if (!Origin) {
-    Software_ = Context_.Streams_.onlyVersion(Pool_, WholeAt_);
-    return Software_.has_value();
-  }
+  if (!Origin)
+    return false;
   // A route may have several pools; the stream goes on in its own.
   auto Target = std::find_if(
       Route_->Targets_.begin(), Route_->Targets_.end(),
@@ -168,10 +168,18 @@
   return true;
 }
 
-void ForwardedRequest::onStreamLookup() {
+bool ForwardedRequest::useOnlyVersion() {
+  if (Context_.Streams_.find(RequestMetadata_.ResumedAttempt_))
+    return false;
+  Software_ = Context_.Streams_.onlyVersion(Pool_, Context_.Loop_.now());
+  return Software_.has_value();
+}
+
+void ForwardedRequest::onStreamLookup(bool TableRead) {
   if (Finished_)
     return;
-  if (!useStreamOrigin())
+  // Without the table, this router can't tell which versions have joined.
+  if (!useStreamOrigin() && !(TableRead && useOnlyVersion()))
     refuse(RefusalReason::StreamUnknown, StreamUnknownRetryAfter);
   else if (reserveTokens())
     placeAttempt();
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -81,10 +81,15 @@
   /// Finds the software version at which a stream that the caller takes up has
   /// to go on. Returns false if the request was refused or waits for the table.
   bool resolveStream();
-  /// Uses what is known of the stream; returns whether that is enough.
+  /// Takes over the version that began the stream; returns false if it is not
+  /// known.
   bool useStreamOrigin();
-  /// Handles the end of a lookup in the table.
-  void onStreamLookup();
+  /// Takes over the only version that can have begun an unknown stream; returns
+  /// false if there are several.
+  bool useOnlyVersion();
+  /// Handles the end of a lookup. \p TableRead is false if the table could not
+  /// be read.
+  void onStreamLookup(bool TableRead);
   /// Reserves the request's maximum number of tokens. Returns false if the
   /// request has to wait for tokens or was refused.
   bool reserveTokens();
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1000,6 +1000,67 @@
                                         .FirstGone_ = false}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// What the table says when a caller takes up a stream that the router does not
+/// know, while it lists only v1.
+struct TakeUpLookupCase {
+  std::string_view Name_;
+  bool TableRead_ = true;
+  /// Version that, by the table, has served beside v1.
+  std::string_view OtherVersion_;
+  /// Version that, by the table, has begun the stream.
+  std::string_view BegunBy_;
+  unsigned Status_ = 503;
+};
+
+std::ostream &operator<<(std::ostream &Out, const TakeUpLookupCase &Value) {
+  return Out << Value.Name_;
+}
+
+class TakeUpLookupTest : public DirectRouterTest,
+                         public testing::WithParamInterface<TakeUpLookupCase> {
+};
+
+/// Guards against a router that was cut off or stood still, and takes the only
+/// version that it has heard of for that of a stream begun elsewhere.
+TEST_P(TakeUpLookupTest, UnknownStreamGoesOnOnlyByTheTable) {
+  const TakeUpLookupCase &Case = GetParam();
+  configure(RequestKind::Stream, true);
+  FakeEndpoint &Endpoint = addEndpoint({EndpointBehavior::CompleteStream});
+  const base::PoolId Pool("pool");
+  Router_->streams().setHistoryKnown();
+  Router_->onStreamLookup([&](const std::string &Attempt, auto OnEnd) {
+    if (!Case.OtherVersion_.empty())
+      Router_->streams().addVersion(
+          {Pool, std::string(Case.OtherVersion_), Loop_->now()});
+    if (!Case.BegunBy_.empty())
+      Router_->streams().add(
+          {Attempt, Pool, std::string(Case.BegunBy_), Loop_->now()});
+    OnEnd(Case.TableRead_);
+  });
+  net::OriginRequest TakeUp = makeCall();
+  TakeUp.Headers_ = {
+      {"Host", "shop.example"}, {"Authorization", "Bearer secret"},
+      {"X-Attempt-Id", "a2"},   {"X-Time-Left-Ms", "2000"},
+      {"Last-Event-ID", "1"},   {"X-Resumed-Attempt", "a1"}};
+  EXPECT_EQ(fetch(std::move(TakeUp)).Status_, Case.Status_);
+  EXPECT_EQ(Endpoint.Requests_.empty(), Case.Status_ != 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Tables, TakeUpLookupTest,
+    testing::Values(TakeUpLookupCase{.Name_ = "not_read", .TableRead_ = false},
+                    TakeUpLookupCase{.Name_ = "other_version_served",
+                                     .OtherVersion_ = "v2"},
+                    TakeUpLookupCase{.Name_ = "begun_by_other_version",
+                                     .OtherVersion_ = "v2",
+                                     .BegunBy_ = "v2"},
+                    TakeUpLookupCase{.Name_ = "begun_by_this_version",
+                                     .OtherVersion_ = "v2",
+                                     .BegunBy_ = "v1",
+                                     .Status_ = 200},
+                    TakeUpLookupCase{.Name_ = "one_version", .Status_ = 200}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 struct DeadlyRequestCase {
   std::string_view Name_;
   RequestKind Kind_ = RequestKind::Idempotent;
