Count each crash of a burst, unless engines crash without the part

Cause: crashes less than 250 ms apart counted as one for a prompt part, so that the eight crashes of the first burst were one of three.

A part is now also quarantined after five crashes, however close, if hardly any engine crashed without it meanwhile; a lost host ends engines without the part as well, whatever the spacing.

--- a/libs/routing/include/camphorwind/routing/quarantine.h
+++ b/libs/routing/include/camphorwind/routing/quarantine.h
@@ -48,13 +48,20 @@
                                 std::uint64_t Request);
 
 struct QuarantineOptions {
-  /// Number of crashes from which a suspect is quarantined.
+  /// Number of rounds of crashes from which a suspect is quarantined.
   std::size_t QuarantineLimit_ = 3;
-  /// Number of crashes from which requests with the suspect are not repeated.
+  /// Number of rounds from which requests with the suspect are not repeated.
   std::size_t RepeatLimit_ = 2;
-  /// Crashes this close to one another count as one for a prompt part: a lost
-  /// host or a failed rollout ends several engines at once, whatever they were
-  /// answering. Copies of one request are hardly ever in flight at all of them.
+  /// Number of crashes from which a prompt part is quarantined after fewer
+  /// rounds.
+  std::size_t BurstLimit_ = 5;
+  /// Largest number of engines that crash meanwhile without the part, as a
+  /// fraction of these crashes. More of them show a cause of another kind.
+  double MaxOtherCrashes_ = 0.25;
+  /// Crashes this close to one another are of one round for a prompt part: a
+  /// lost host or a failed rollout ends several engines at once, whatever they
+  /// were answering. Copies of one request are hardly ever in flight at all of
+  /// them.
   std::chrono::milliseconds CrashSpacing_{250};
   /// A suspect is not blamed for a crash this soon after a whole answer to a
   /// request with it. What crashes engines only from some moment on, such as
@@ -97,6 +104,11 @@
 /// as many crashes as a part of its prompt, the request is blamed: other
 /// requests with the part may be sound.
 ///
+/// Crashes of one round, close to one another, may have one cause that no
+/// request has to do with; then engines crash without the suspect, too. A
+/// prompt part is quarantined after QuarantineLimit_ rounds, or after
+/// BurstLimit_ crashes if hardly any engine crashed without it meanwhile.
+///
 /// Routers exchange reports, so that all of them come to the same result. No
 /// call does I/O. \p Now must not decrease from call to call.
 class Quarantine {
@@ -140,7 +152,10 @@
   /// Crashes attributed to a suspect, before any is attributed to another.
   struct Blame {
     std::size_t Crashes_ = 0;
+    std::size_t Rounds_ = 0;
+    /// The last crash of the last round.
     base::TimePoint LastAt_{};
+    bool IsQuarantinable_ = false;
   };
   using Blames = std::map<Suspect, Blame>;
   struct Hash {
@@ -155,6 +170,13 @@
   /// if they may hold its requests back.
   void acquit(const Suspect &Sound, base::TimePoint At, base::TimePoint Now);
   Blames countCrashes(const std::set<std::string> &Explained) const;
+  /// Counts the crashes of one suspect, which are in the order of time.
+  Blame countRounds(const Suspect &Counted,
+                    const std::vector<const Crash *> &Crashes) const;
+  /// Whether \p Crashes of one suspect are enough for a quarantine, in spite of
+  /// too few rounds.
+  bool isBurst(const Suspect &Counted,
+               const std::vector<const Crash *> &Crashes) const;
   /// Returns the suspects to quarantine next, given the crashes that are not
   /// explained yet; empty if there are none.
   std::vector<Suspect> mostBlamed(const Blames &Remaining) const;
--- a/libs/routing/src/quarantine.cpp
+++ b/libs/routing/src/quarantine.cpp
@@ -113,7 +113,8 @@
   refresh();
   auto Blamed = Blames_.find(Sound);
   bool HeldBack = Blamed != Blames_.end() &&
-                  Blamed->second.Crashes_ >= Options_.RepeatLimit_;
+                  (Blamed->second.Rounds_ >= Options_.RepeatLimit_ ||
+                   Blamed->second.IsQuarantinable_);
   SoundReport Report{Sound, {}, Now};
   for (auto &[Id, Each] : Crashes_) {
     if (Each.At_ > At || Each.Suspects_.erase(Sound) == 0)
@@ -132,43 +133,75 @@
 
 Quarantine::Blames
 Quarantine::countCrashes(const std::set<std::string> &Explained) const {
-  std::map<Suspect, std::vector<base::TimePoint>> CrashTimes;
+  std::map<Suspect, std::vector<const Crash *>> CrashesOf;
   for (const auto &[Id, Each] : Crashes_)
     if (!Explained.contains(Id))
       for (const Suspect &One : Each.Suspects_)
-        CrashTimes[One].push_back(Each.At_);
+        CrashesOf[One].push_back(&Each);
   Blames Counted;
-  for (auto &[One, All] : CrashTimes) {
-    bool IsSpaced = One.Kind_ == Suspect::Kind::PromptPart;
-    std::sort(All.begin(), All.end());
-    Blame &Result = Counted[One];
-    for (base::TimePoint Each : All) {
-      if (IsSpaced && Result.Crashes_ > 0 &&
-          Each - Result.LastAt_ < Options_.CrashSpacing_)
-        continue;
-      ++Result.Crashes_;
-      Result.LastAt_ = Each;
-    }
+  for (auto &[One, All] : CrashesOf) {
+    std::sort(All.begin(), All.end(),
+              [](const Crash *Left, const Crash *Right) {
+                return Left->At_ < Right->At_;
+              });
+    Counted.emplace(One, countRounds(One, All));
   }
   return Counted;
 }
 
+Quarantine::Blame
+Quarantine::countRounds(const Suspect &Counted,
+                        const std::vector<const Crash *> &Crashes) const {
+  Blame Result;
+  Result.Crashes_ = Crashes.size();
+  bool IsSpaced = Counted.Kind_ == Suspect::Kind::PromptPart;
+  for (const Crash *Each : Crashes) {
+    if (IsSpaced && Result.Rounds_ > 0 &&
+        Each->At_ - Result.LastAt_ < Options_.CrashSpacing_)
+      continue;
+    ++Result.Rounds_;
+    Result.LastAt_ = Each->At_;
+  }
+  Result.IsQuarantinable_ =
+      Result.Rounds_ >= Options_.QuarantineLimit_ || isBurst(Counted, Crashes);
+  return Result;
+}
+
+bool Quarantine::isBurst(const Suspect &Counted,
+                         const std::vector<const Crash *> &Crashes) const {
+  if (Crashes.size() < Options_.BurstLimit_)
+    return false;
+  auto IsNear = [&](base::TimePoint At) {
+    return std::any_of(Crashes.begin(), Crashes.end(), [&](const Crash *Each) {
+      return std::chrono::abs(Each->At_ - At) < Options_.CrashSpacing_;
+    });
+  };
+  auto Others =
+      std::count_if(Crashes_.begin(), Crashes_.end(), [&](const auto &Each) {
+        return !Each.second.Suspects_.contains(Counted) &&
+               IsNear(Each.second.At_);
+      });
+  return static_cast<double>(Others) <=
+         Options_.MaxOtherCrashes_ * static_cast<double>(Crashes.size());
+}
+
 std::vector<Suspect> Quarantine::mostBlamed(const Blames &Remaining) const {
   std::size_t Most = 0;
   for (const auto &[One, Each] : Remaining)
-    Most = std::max(Most, Each.Crashes_);
+    if (Each.IsQuarantinable_)
+      Most = std::max(Most, Each.Crashes_);
+  auto IsMost = [&](const Blame &Each) {
+    return Each.Crashes_ == Most && Each.IsQuarantinable_;
+  };
   std::vector<Suspect> Found;
-  if (Most < Options_.QuarantineLimit_)
-    return Found;
   // Suspects of one kind with as many crashes can't be told apart before one is
   // answered.
   bool IsRequest = false;
   for (const auto &[One, Each] : Remaining)
-    IsRequest = IsRequest ||
-                (Each.Crashes_ == Most && One.Kind_ == Suspect::Kind::Request);
+    IsRequest =
+        IsRequest || (IsMost(Each) && One.Kind_ == Suspect::Kind::Request);
   for (const auto &[One, Each] : Remaining)
-    if (Each.Crashes_ == Most &&
-        (One.Kind_ == Suspect::Kind::Request) == IsRequest)
+    if (IsMost(Each) && (One.Kind_ == Suspect::Kind::Request) == IsRequest)
       Found.push_back(One);
   return Found;
 }
@@ -220,7 +253,7 @@
                       [&](const Suspect &Each) {
                         auto Found = Blames_.find(Each);
                         return Found != Blames_.end() &&
-                               Found->second.Crashes_ >= Options_.RepeatLimit_;
+                               Found->second.Rounds_ >= Options_.RepeatLimit_;
                       });
 }
 
--- a/libs/routing/test/quarantine-test.cpp
+++ b/libs/routing/test/quarantine-test.cpp
@@ -256,7 +256,7 @@
 
 /// A fleet before engines that crash under one part, or one request.
 struct FleetCase {
-  std::string_view Name_;
+  std::string Name_;
   unsigned Routers_ = 4;
   unsigned Engines_ = 12;
   /// Requests per second of all callers, and those with the part among them.
@@ -271,6 +271,13 @@
   bool IsPlain_ = false;
   /// Routers repeat a request once after its engine has crashed.
   bool Repeats_ = false;
+  /// Requests with the part come so many at once, each from another caller,
+  /// every BurstInterval, instead of one by one.
+  unsigned Burst_ = 0;
+  /// Engines that end at once, whatever they run, every LossInterval.
+  unsigned Lost_ = 0;
+  /// Time between the ends of two of these.
+  std::chrono::milliseconds LossSpacing_{0};
 };
 
 std::ostream &operator<<(std::ostream &Out, const FleetCase &Value) {
@@ -290,6 +297,12 @@
       deliver();
       for (Engine &Each : Engines_)
         serve(Each);
+      for (unsigned Index = 0; Index < Case_.Lost_; ++Index)
+        if (isDue(LossInterval, Index * Case_.LossSpacing_))
+          crash(Engines_[Index]);
+      if (Case_.Burst_ > 0 && isDue(BurstInterval, 0ms))
+        for (unsigned Count = 0; Count < Case_.Burst_; ++Count)
+          ask(true);
       std::bernoulli_distribution IsBad(Case_.BadRate_ * StepSeconds);
       for (unsigned Count = std::poisson_distribution<unsigned>(
                Case_.Rate_ * StepSeconds)(Random_);
@@ -312,6 +325,8 @@
   static constexpr double StepSeconds = 0.01;
   static constexpr auto ReportDelay = 200ms;
   static constexpr auto LearnTime = 3000ms;
+  static constexpr auto BurstInterval = 3400ms;
+  static constexpr auto LossInterval = 7000ms;
 
   /// Number of crashes from which routers should know.
   int crashesUntilKnown() const { return Case_.IsRequest_ ? 3 : 5; }
@@ -337,6 +352,13 @@
     std::vector<SoundReport> Sound_;
   };
 
+  bool isDue(std::chrono::milliseconds Interval,
+             std::chrono::milliseconds Offset) const {
+    base::Duration Since = Now_ - at(0ms) - Offset;
+    return Since > base::Duration::zero() &&
+           Since % Interval == base::Duration::zero();
+  }
+
   std::size_t pick(std::size_t Count) {
     return std::uniform_int_distribution<std::size_t>(0, Count - 1)(Random_);
   }
@@ -480,13 +502,34 @@
         {"plain_request", 4, 4, 20, 0.4, Seed, 0s, true, true, true});
     Cases.push_back(
         {"plain_request_many", 100, 80, 500, 5, Seed, 0s, true, true, true});
+    for (unsigned Burst : {2U, 4U, 8U}) {
+      FleetCase Case{"burst_of_" + std::to_string(Burst), 4, 12, 150, 0, Seed};
+      Case.Burst_ = Burst;
+      Cases.push_back(Case);
+      Case.Name_ += "_repeated";
+      Case.Repeats_ = true;
+      Cases.push_back(Case);
+    }
+    FleetCase Many{"burst_many_routers", 60, 180, 1500, 0, Seed};
+    Many.Burst_ = 20;
+    Many.Repeats_ = true;
+    Cases.push_back(Many);
+    for (unsigned Lost : {6U, 12U}) {
+      FleetCase Case{"lost_" + std::to_string(Lost), 4, 12, 150, 0, Seed};
+      Case.Lost_ = Lost;
+      Case.Repeats_ = true;
+      Cases.push_back(Case);
+      Case.Name_ += "_in_turn";
+      Case.LossSpacing_ = 20ms;
+      Cases.push_back(Case);
+    }
   }
   return Cases;
 }
 
 INSTANTIATE_TEST_SUITE_P(Fleets, QuarantineFleetTest,
                          testing::ValuesIn(fleetCases()), [](const auto &Info) {
-                           return std::string(Info.param.Name_) + "_" +
+                           return Info.param.Name_ + "_" +
                                   std::to_string(Info.param.Seed_);
                          });
 
