Let streams of a stopped router go on once another version joins

Cause: a router wrote the versions of its streams only once it had itself seen a second version; the others, which had, could not tell.

Now routers know in which order versions joined (the rank in a version's row), and a stream of any but the first is in the table before its caller has an event. So a stream that the table lacks is of the first version. The row is written as the attempt is sent; only an event that comes sooner is held back. While the table takes no writes, new streams go to the first version.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -430,6 +430,11 @@
   Context.quarantineChanged();
 }
 StreamVersions &DirectRouter::streams() { return Inner_->Context_.Streams_; }
+void DirectRouter::streamsWritten(const std::vector<StreamOrigin> &Written) {
+  Inner_->Context_.Streams_.markWritten(Written);
+  for (const auto &Each : Inner_->Context_.openRequests())
+    Each->passOnHeldEvents();
+}
 void DirectRouter::onStreamLookup(StreamLookup Lookup) {
   Inner_->Context_.FindStream_ = std::move(Lookup);
 }
--- a/daemons/direct/direct-router.h
+++ b/daemons/direct/direct-router.h
@@ -14,6 +14,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace camphorwind::direct {
 
@@ -63,6 +65,9 @@
   /// Which software versions began streams. The owner exchanges it with other
   /// routers and later processes.
   StreamVersions &streams();
+  /// Notes that the table holds these streams, and passes on what was held back
+  /// until then.
+  void streamsWritten(const std::vector<StreamOrigin> &Written);
   /// Sets how streams are found that this router did not begin.
   void onStreamLookup(StreamLookup Lookup);
 
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -138,7 +138,7 @@
       RequestMetadata_.LastEventId_.value_or(0) == 0 || useStreamOrigin())
     return true;
   if (!Context_.FindStream_) {
-    if (useOnlyVersion())
+    if (assumeFirstVersion())
       return true;
     refuse(RefusalReason::StreamUnknown, StreamUnknownRetryAfter);
     return false;
@@ -168,10 +168,10 @@
   return true;
 }
 
-bool ForwardedRequest::useOnlyVersion() {
+bool ForwardedRequest::assumeFirstVersion() {
   if (Context_.Streams_.find(RequestMetadata_.ResumedAttempt_))
     return false;
-  Software_ = Context_.Streams_.onlyVersion(Pool_, Context_.Loop_.now());
+  Software_ = Context_.Streams_.versionOfUnwritten(Pool_, Context_.Loop_.now());
   return Software_.has_value();
 }
 
@@ -179,7 +179,7 @@
   if (Finished_)
     return;
   // Without the table, this router can't tell which versions have joined.
-  if (!useStreamOrigin() && !(TableRead && useOnlyVersion()))
+  if (!useStreamOrigin() && !(TableRead && assumeFirstVersion()))
     refuse(RefusalReason::StreamUnknown, StreamUnknownRetryAfter);
   else if (reserveTokens())
     placeAttempt();
@@ -337,14 +337,52 @@
 
 std::vector<base::EndpointId> ForwardedRequest::excludedEndpoints() const {
   std::vector<base::EndpointId> Excluded = Tried_;
-  if (!Software_)
+  if (!Software_) {
+    if (isNewResumable() && !Context_.Streams_.writable())
+      excludeUnwritable(Excluded);
     return Excluded;
+  }
   for (const auto &[Id, Each] : Context_.Endpoints_.usable())
     if (Each.Pool_ == Pool_ && Each.SoftwareVersion_ != *Software_)
       Excluded.push_back(Id);
   return Excluded;
 }
 
+void ForwardedRequest::excludeUnwritable(
+    std::vector<base::EndpointId> &Excluded) const {
+  std::vector<base::EndpointId> Unwritable;
+  bool HasOthers = false;
+  for (const auto &[Id, Each] : Context_.Endpoints_.usable()) {
+    if (Each.Pool_ != Pool_)
+      continue;
+    if (Context_.Streams_.needsWriting(Pool_, Each.SoftwareVersion_,
+                                       Context_.Loop_.now()))
+      Unwritable.push_back(Id);
+    else
+      HasOthers = true;
+  }
+  if (HasOthers)
+    Excluded.insert(Excluded.end(), Unwritable.begin(), Unwritable.end());
+}
+
+bool ForwardedRequest::isNewResumable() const {
+  return Route_->Kind_ == RequestKind::Stream && Route_->Resumable_ &&
+         !Software_;
+}
+
+bool ForwardedRequest::mustHold() const {
+  const std::string &Software = Attempt_.Target_.SoftwareVersion_;
+  if (!Context_.FindStream_ || !isNewResumable() ||
+      Context_.Streams_.isWritten(RequestMetadata_.AttemptId_) ||
+      !Context_.Streams_.needsWriting(Pool_, Software, Context_.Loop_.now()))
+    return false;
+  const auto &Usable = Context_.Endpoints_.usable();
+  return std::any_of(Usable.begin(), Usable.end(), [&](const auto &Each) {
+    return Each.second.Pool_ == Pool_ &&
+           Each.second.SoftwareVersion_ != Software;
+  });
+}
+
 routing::PlacementRequest ForwardedRequest::makePlacementRequest(
     std::span<const base::EndpointId> Excluded) const {
   routing::PlacementRequest PlacementRequest;
@@ -434,6 +472,9 @@
   Attempt_.PoolAttempt_ = Context_.poolState(Pool_).Selector_.sent(
       Placement, PlacementRequest, Now);
   AttemptActive_ = true;
+  if (isNewResumable())
+    Context_.Streams_.sent(
+        {RequestMetadata_.AttemptId_, Pool_, Target->SoftwareVersion_, Now});
 
   net::OriginRequest Outgoing;
   Outgoing.Endpoint_ = Target->Address_;
@@ -600,16 +641,38 @@
 }
 
 void ForwardedRequest::onEvents(const std::string &Events) {
+  if (StreamStarted_) {
+    passOn(Events);
+    return;
+  }
+  HeldEvents_ += Events;
+  passOnHeldEvents();
+  if (HeldEvents_.size() > MaxBufferedBytes)
+    Context_.Origins_.setReading(Attempt_.Call_, false);
+}
+
+void ForwardedRequest::passOnHeldEvents() {
+  if (HeldEvents_.empty() || mustHold())
+    return;
+  bool WasPaused = HeldEvents_.size() > MaxBufferedBytes;
+  passOn(std::exchange(HeldEvents_, {}));
+  if (WasPaused && Exchange_->buffered() <= MaxBufferedBytes)
+    Context_.Origins_.setReading(Attempt_.Call_, true);
+}
+
+void ForwardedRequest::passOn(const std::string &Events) {
   if (!StreamStarted_) {
     StreamStarted_ = true;
     FirstByteAt_ = Context_.Loop_.now();
-    rememberStream();
+    // A stream that was taken up goes on as the attempt that began it.
+    if (!Software_)
+      Software_ = Attempt_.Target_.SoftwareVersion_;
     Context_.Metrics_.observe("first_event_seconds",
                               *FirstByteAt_ - ArrivedAt_);
     Exchange_->startStream(Attempt_.Status_, Attempt_.Headers_);
   }
   Exchange_->write(Events);
-  if (Exchange_->buffered() <= MaxBufferedBytes)
+  if (Exchange_->buffered() <= MaxBufferedBytes || !AttemptActive_)
     return;
   Context_.Origins_.setReading(Attempt_.Call_, false);
   Exchange_->onDrain([Weak = weak_from_this()] {
@@ -620,16 +683,6 @@
   });
 }
 
-void ForwardedRequest::rememberStream() {
-  // A stream that was taken up is remembered by the attempt that began it.
-  if (Software_)
-    return;
-  Software_ = Attempt_.Target_.SoftwareVersion_;
-  if (Route_->Resumable_)
-    Context_.Streams_.began(
-        {RequestMetadata_.AttemptId_, Pool_, *Software_, *FirstByteAt_});
-}
-
 void ForwardedRequest::onEnd(
     const base::Result<void, net::OriginError> &Result) {
   if (Finished_)
@@ -700,6 +753,11 @@
                   {"reason", routing::toString(*Ejected)},
                   {"request", RequestMetadata_.AttemptId_}});
   EventStream_.discardUnfinished();
+  if (HeldEvents_.empty())
+    return;
+  // The caller has no event yet, so that another endpoint can begin anew.
+  HeldEvents_.clear();
+  EventStream_ = EventStream(RequestMetadata_.LastEventId_);
 }
 
 void ForwardedRequest::onStreamEnd() {
@@ -719,6 +777,8 @@
     return;
   }
   recordSuccess();
+  if (!HeldEvents_.empty())
+    passOn(std::exchange(HeldEvents_, {}));
   if (!StreamStarted_) {
     StreamStarted_ = true;
     Exchange_->startStream(Attempt_.Status_, Attempt_.Headers_);
@@ -819,6 +879,7 @@
     }
     return;
   }
+  passOnHeldEvents();
   if (TokenWaitStart_)
     retryReservation();
   else if (AttemptActive_)
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -35,6 +35,9 @@
   /// Retries the reservation if the request is waiting for tokens; call when
   /// tokens may have become available.
   void retryReservation();
+  /// Passes on the events that were held back, unless they still have to be;
+  /// call when streams were written to the table.
+  void passOnHeldEvents();
 
 private:
   /// State of the current attempt.
@@ -84,9 +87,9 @@
   /// Takes over the version that began the stream; returns false if it is not
   /// known.
   bool useStreamOrigin();
-  /// Takes over the only version that can have begun an unknown stream; returns
-  /// false if there are several.
-  bool useOnlyVersion();
+  /// Takes over the version of the streams that the table lacks; returns false
+  /// if that may be several.
+  bool assumeFirstVersion();
   /// Handles the end of a lookup. \p TableRead is false if the table could not
   /// be read.
   void onStreamLookup(bool TableRead);
@@ -121,8 +124,16 @@
   void applyRequestLimit(const ResponseMetadata &Response, base::TimePoint Now);
   void onBody(std::string_view Data);
   void onEvents(const std::string &Events);
-  /// Remembers which software version has sent the first event.
-  void rememberStream();
+  /// Passes events on to the caller, the first ones with the head.
+  void passOn(const std::string &Events);
+  /// Whether the caller may take the stream up elsewhere once it has an event.
+  bool isNewResumable() const;
+  /// Whether a caller that takes the stream up elsewhere could be sent to an
+  /// endpoint of another version, as the table lacks the stream.
+  bool mustHold() const;
+  /// Adds the endpoints whose streams could not be written to the table now, if
+  /// there are others.
+  void excludeUnwritable(std::vector<base::EndpointId> &Excluded) const;
   /// Ends an attempt whose response is larger than any may be.
   void onOversized();
   void onEnd(const base::Result<void, net::OriginError> &Result);
@@ -221,6 +232,8 @@
   unsigned Sends_ = 0;
   EventStream EventStream_;
   bool StreamStarted_ = false;
+  /// Events received before the stream may start.
+  std::string HeldEvents_;
   std::optional<base::TimePoint> FirstByteAt_;
   bool Finished_ = false;
 };
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1000,6 +1000,82 @@
                                         .FirstGone_ = false}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// What lets a stream start that an endpoint of the second version has begun.
+enum class HoldEnd { Written, OtherVersionLeaves };
+
+struct HeldStreamCase {
+  std::string_view Name_;
+  /// Whether the stream reaches the endpoint of the second version.
+  bool SecondVersion_ = true;
+  bool TableWritable_ = true;
+  bool Resumable_ = true;
+  bool Held_ = true;
+  HoldEnd End_ = HoldEnd::Written;
+};
+
+std::ostream &operator<<(std::ostream &Out, const HeldStreamCase &Value) {
+  return Out << Value.Name_;
+}
+
+class HeldStreamTest : public DirectRouterTest,
+                       public testing::WithParamInterface<HeldStreamCase> {};
+
+/// Guards against a stream of the second version that its router has not
+/// written when it stops, so that others take it for one of the first version.
+TEST_P(HeldStreamTest, StartsOnceOthersCanKnowItsVersion) {
+  const HeldStreamCase &Case = GetParam();
+  configure(RequestKind::Stream, Case.Resumable_);
+  Router_->streams().setHistoryKnown();
+  Router_->onStreamLookup([](const std::string &, auto) {});
+  Script_->push_back(EndpointBehavior::SlowStream);
+  bool PrefersSecond = Case.SecondVersion_ || !Case.TableWritable_;
+  for (std::string_view Software : {"v1", "v2"}) {
+    Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+    bool IsSecond = Software == "v2";
+    list(std::string(Software), Endpoints_.back()->address(),
+         IsSecond == PrefersSecond ? "here" : "far", std::string(Software));
+    wait(1100ms);
+  }
+  Router_->streams().setWritable(Case.TableWritable_);
+  std::string Body;
+  net::OriginEvents Events;
+  Events.OnHead_ = [](const net::OriginHead &) {
+    return net::HeadVerdict::Accept;
+  };
+  Events.OnBody_ = [&Body](std::string_view Data) { Body.append(Data); };
+  Events.OnEnd_ = [](const base::Result<void, net::OriginError> &) {};
+  Caller_.start(makeCall(), std::move(Events));
+  wait(200ms);
+  EXPECT_EQ(Endpoints_[1]->Requests_.empty(), !Case.SecondVersion_);
+  EXPECT_EQ(Body.empty(), Case.Held_);
+  if (Case.End_ == HoldEnd::OtherVersionLeaves) {
+    Router_->endpoints().remove(base::EndpointId("v1"), Loop_->now());
+    Router_->endpointsChanged();
+  } else {
+    Router_->streamsWritten({{"a1", base::PoolId("pool"), "v2", Loop_->now()}});
+  }
+  wait(1500ms);
+  EXPECT_EQ(Body, AllEvents);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Holds, HeldStreamTest,
+    testing::Values(HeldStreamCase{.Name_ = "until_written"},
+                    HeldStreamCase{.Name_ = "until_no_other_version_serves",
+                                   .End_ = HoldEnd::OtherVersionLeaves},
+                    HeldStreamCase{.Name_ = "not_at_the_first_version",
+                                   .SecondVersion_ = false,
+                                   .Held_ = false},
+                    HeldStreamCase{.Name_ = "not_if_it_can_not_be_taken_up",
+                                   .Resumable_ = false,
+                                   .Held_ = false},
+                    HeldStreamCase{
+                        .Name_ = "first_version_while_the_table_is_away",
+                        .SecondVersion_ = false,
+                        .TableWritable_ = false,
+                        .Held_ = false}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 /// What the table says when a caller takes up a stream that the router does not
 /// know, while it lists only v1.
 struct TakeUpLookupCase {
--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -22,6 +23,7 @@
   std::string Attempt_;
   base::PoolId Pool_;
   std::string Software_;
+  /// When the attempt was sent.
   base::TimePoint BeganAt_{};
 };
 
@@ -30,16 +32,30 @@
   base::PoolId Pool_;
   std::string Software_;
   base::TimePoint LastSeenAt_{};
+  /// Position in the order in which the pool's versions joined. Versions have
+  /// equal ranks if it is not known which of them joined first.
+  std::uint32_t Rank_ = 0;
 };
 
 /// Remembers which software version began each stream, as a stream may go on
 /// only there. Does no I/O: what other routers and earlier processes know comes
 /// from a table, through add(), addVersion() and setHistoryKnown().
+///
+/// While one version serves in a pool, its streams are not written. Once
+/// another joins, a stream of that one is written before its first event is
+/// passed on, so that a stream that the table lacks is of the first version,
+/// even if the router that began it has stopped.
 class StreamVersions {
 public:
   /// Time for which streams and versions are remembered. A stream that began
   /// earlier can be taken up only if one version has served since.
   static constexpr std::chrono::seconds Lifetime{60};
+  /// Time after a version was last seen for which streams of other versions are
+  /// written. Exceeds Lifetime by more than routers differ in when they last
+  /// saw the version.
+  static constexpr std::chrono::seconds WriteTime{90};
+  /// Versions that a router saw first within this time have no order.
+  static constexpr std::chrono::seconds MinLead{1};
   /// Maximum number of streams remembered; the oldest are dropped.
   static constexpr std::size_t MaxStreams = 50'000;
 
@@ -51,37 +67,78 @@
   /// Notes that a version has served before, by the table.
   void addVersion(const PoolVersion &Seen);
   /// Notes that the table's versions were all added.
-  void setHistoryKnown() { HistoryKnown_ = true; }
+  void setHistoryKnown();
+  /// Notes that the table may have lost streams and versions.
+  void forgetOrder(base::TimePoint Now);
 
-  /// Notes that this router has passed on the first event of a stream.
-  void began(StreamOrigin Origin);
+  /// Notes that this router sends a new stream to an endpoint. Replaces what an
+  /// earlier send under the same attempt has noted.
+  void sent(StreamOrigin Origin);
   /// Notes a stream by the table.
   void add(StreamOrigin Origin);
 
-  /// Returns the stream whose first event \p Attempt brought, or null. Valid
-  /// until the next call that is not const.
+  /// Returns the stream that \p Attempt began, or null. Valid until the next
+  /// call that is not const.
   const StreamOrigin *find(const std::string &Attempt) const;
-  /// Returns the only version at which streams of the pool can have begun
-  /// within Lifetime; nothing if there may have been several.
-  std::optional<std::string> onlyVersion(const base::PoolId &Pool,
-                                         base::TimePoint Now) const;
+  /// Returns the version that began a stream of the pool which the table, read
+  /// after the stream has broken off, lacks; nothing if that may be several.
+  std::optional<std::string> versionOfUnwritten(const base::PoolId &Pool,
+                                                base::TimePoint Now) const;
+  /// Whether a stream of this version must be in the table before its first
+  /// event is passed on.
+  bool needsWriting(const base::PoolId &Pool, const std::string &Software,
+                    base::TimePoint Now) const;
+  bool isWritten(const std::string &Attempt) const;
+
   /// Returns streams that this router began and that the table lacks, as far as
   /// a later process or another router could mistake their version.
   std::vector<StreamOrigin> takeUnwritten(base::TimePoint Now);
+  /// Notes that the table holds these streams.
+  void markWritten(const std::vector<StreamOrigin> &Written);
+  /// Whether the table accepts writes; assumed at the start.
+  void setWritable(bool Writable) { Writable_ = Writable; }
+  bool writable() const { return Writable_; }
+
   std::vector<PoolVersion> versions() const;
   /// Forgets what is older than Lifetime.
   void sweep(base::TimePoint Now);
 
 private:
+  struct Stream {
+    StreamOrigin Origin_;
+    bool Written_ = false;
+  };
+  struct Version {
+    base::TimePoint FirstSeenAt_{};
+    base::TimePoint LastSeenAt_{};
+    std::uint32_t Rank_ = 0;
+    bool FromTable_ = false;
+  };
+  using Versions = std::map<std::string, Version>;
+
+  bool isHistoryComplete(base::TimePoint Now) const {
+    return HistoryKnown_ || Now - StartedAt_ >= Lifetime;
+  }
+  /// Returns the version that joined before all others seen within \p Span;
+  /// nothing if that is not known.
+  std::optional<std::string> firstVersion(const base::PoolId &Pool,
+                                          base::Duration Span,
+                                          base::TimePoint Now) const;
+  /// Whether several versions may have begun streams of the pool.
+  bool isAmbiguous(const base::PoolId &Pool, base::TimePoint Now) const;
+  void insert(Stream Inserted);
+
   base::TimePoint StartedAt_;
   bool HistoryKnown_ = false;
-  std::unordered_map<std::string, StreamOrigin> Streams_;
+  bool Writable_ = true;
+  /// When the table last lost rows.
+  std::optional<base::TimePoint> OrderLostAt_;
+  std::unordered_map<std::string, Stream> Streams_;
   /// Attempts in the order in which they were noted.
   std::deque<std::string> Order_;
   /// Attempts of this router whose streams the table lacks.
   std::vector<std::string> Unwritten_;
-  /// When each version was last seen, by pool.
-  std::map<base::PoolId, std::map<std::string, base::TimePoint>> Versions_;
+  std::map<base::PoolId, Versions> Versions_;
 };
 
 } // namespace camphorwind::direct
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -8,25 +8,77 @@
 void StreamVersions::markListed(const base::PoolId &Pool,
                                 const std::string &Software,
                                 base::TimePoint Now) {
-  Versions_[Pool].insert_or_assign(Software, Now);
+  Versions &Seen = Versions_[Pool];
+  auto Known = Seen.find(Software);
+  if (Known != Seen.end()) {
+    Known->second.LastSeenAt_ = Now;
+    return;
+  }
+  Version Joined{Now, Now, 0, false};
+  for (const auto &[Other, Each] : Seen) {
+    bool HasLead = Each.FromTable_ || Now - Each.FirstSeenAt_ >= MinLead;
+    Joined.Rank_ = std::max(Joined.Rank_, Each.Rank_ + (HasLead ? 1U : 0U));
+  }
+  Seen.emplace(Software, Joined);
 }
 
 void StreamVersions::addVersion(const PoolVersion &Seen) {
-  base::TimePoint &LastSeen = Versions_[Seen.Pool_]
-                                  .try_emplace(Seen.Software_, Seen.LastSeenAt_)
-                                  .first->second;
-  LastSeen = std::max(LastSeen, Seen.LastSeenAt_);
+  auto [Found, New] = Versions_[Seen.Pool_].try_emplace(
+      Seen.Software_,
+      Version{Seen.LastSeenAt_, Seen.LastSeenAt_, Seen.Rank_, true});
+  if (New)
+    return;
+  Version &Known = Found->second;
+  Known.LastSeenAt_ = std::max(Known.LastSeenAt_, Seen.LastSeenAt_);
+  // Before the first read, this router may have taken an old version for one
+  // that has just joined. Afterwards, the lower rank says less and is safe.
+  bool Replaces = !HistoryKnown_ && !Known.FromTable_;
+  Known.Rank_ = Replaces ? Seen.Rank_ : std::min(Known.Rank_, Seen.Rank_);
+  Known.FromTable_ = true;
 }
 
-void StreamVersions::began(StreamOrigin Origin) {
+void StreamVersions::setHistoryKnown() {
+  HistoryKnown_ = true;
+  for (auto &[Pool, Seen] : Versions_) {
+    std::optional<std::uint32_t> Last;
+    for (const auto &[Software, Each] : Seen)
+      if (Each.FromTable_)
+        Last = std::max(Last.value_or(0U), Each.Rank_);
+    if (!Last)
+      continue;
+    for (auto &[Software, Each] : Seen)
+      if (!Each.FromTable_)
+        Each.Rank_ = *Last + 1;
+  }
+}
+
+void StreamVersions::forgetOrder(base::TimePoint Now) {
+  OrderLostAt_ = Now;
+  for (auto &[Pool, Seen] : Versions_)
+    for (auto &[Software, Each] : Seen)
+      Each.Rank_ = 0;
+}
+
+void StreamVersions::sent(StreamOrigin Origin) {
   Unwritten_.push_back(Origin.Attempt_);
-  add(std::move(Origin));
+  auto Known = Streams_.find(Origin.Attempt_);
+  if (Known != Streams_.end())
+    Known->second = {std::move(Origin), false};
+  else
+    insert({std::move(Origin), false});
 }
 
 void StreamVersions::add(StreamOrigin Origin) {
-  std::string Attempt = Origin.Attempt_;
-  if (!Streams_.try_emplace(Attempt, std::move(Origin)).second)
-    return;
+  auto Known = Streams_.find(Origin.Attempt_);
+  if (Known == Streams_.end())
+    insert({std::move(Origin), true});
+  else if (Origin.BeganAt_ > Known->second.Origin_.BeganAt_)
+    Known->second = {std::move(Origin), true};
+}
+
+void StreamVersions::insert(Stream Inserted) {
+  std::string Attempt = Inserted.Origin_.Attempt_;
+  Streams_.emplace(Attempt, std::move(Inserted));
   Order_.push_back(std::move(Attempt));
   if (Order_.size() <= MaxStreams)
     return;
@@ -36,38 +88,66 @@
 
 const StreamOrigin *StreamVersions::find(const std::string &Attempt) const {
   auto Known = Streams_.find(Attempt);
-  return Known == Streams_.end() ? nullptr : &Known->second;
+  return Known == Streams_.end() ? nullptr : &Known->second.Origin_;
 }
 
 std::optional<std::string>
-StreamVersions::onlyVersion(const base::PoolId &Pool,
-                            base::TimePoint Now) const {
-  auto Seen = Versions_.find(Pool);
-  if (Seen == Versions_.end() ||
-      (!HistoryKnown_ && Now - StartedAt_ < Lifetime))
+StreamVersions::firstVersion(const base::PoolId &Pool, base::Duration Span,
+                             base::TimePoint Now) const {
+  auto Found = Versions_.find(Pool);
+  if (Found == Versions_.end() || !isHistoryComplete(Now))
     return std::nullopt;
-  std::optional<std::string> Only;
-  for (const auto &[Software, LastSeen] : Seen->second) {
-    if (Now - LastSeen >= Lifetime)
-      continue;
-    if (Only)
-      return std::nullopt;
-    Only = Software;
-  }
-  return Only;
+  std::map<std::uint32_t, std::vector<const std::string *>> ByRank;
+  for (const auto &[Software, Each] : Found->second)
+    if (Now - Each.LastSeenAt_ < Span)
+      ByRank[Each.Rank_].push_back(&Software);
+  if (ByRank.empty() || ByRank.begin()->second.size() > 1)
+    return std::nullopt;
+  bool OrderLost = OrderLostAt_ && Now - *OrderLostAt_ < WriteTime;
+  if (ByRank.size() > 1 && OrderLost)
+    return std::nullopt;
+  return *ByRank.begin()->second.front();
+}
+
+std::optional<std::string>
+StreamVersions::versionOfUnwritten(const base::PoolId &Pool,
+                                   base::TimePoint Now) const {
+  return firstVersion(Pool, Lifetime, Now);
+}
+
+bool StreamVersions::needsWriting(const base::PoolId &Pool,
+                                  const std::string &Software,
+                                  base::TimePoint Now) const {
+  auto First = firstVersion(Pool, WriteTime, Now);
+  return First && *First != Software;
+}
+
+bool StreamVersions::isWritten(const std::string &Attempt) const {
+  auto Known = Streams_.find(Attempt);
+  return Known != Streams_.end() && Known->second.Written_;
+}
+
+bool StreamVersions::isAmbiguous(const base::PoolId &Pool,
+                                 base::TimePoint Now) const {
+  auto Found = Versions_.find(Pool);
+  return Found == Versions_.end() || !isHistoryComplete(Now) ||
+         std::count_if(Found->second.begin(), Found->second.end(),
+                       [Now](const auto &Each) {
+                         return Now - Each.second.LastSeenAt_ < WriteTime;
+                       }) != 1;
 }
 
 std::vector<StreamOrigin> StreamVersions::takeUnwritten(base::TimePoint Now) {
-  std::map<base::PoolId, bool> IsAmbiguous;
-  for (const auto &[Pool, Seen] : Versions_)
-    IsAmbiguous[Pool] = !onlyVersion(Pool, Now);
   std::vector<StreamOrigin> Taken;
-  if (std::none_of(IsAmbiguous.begin(), IsAmbiguous.end(),
+  std::map<base::PoolId, bool> Ambiguous;
+  for (const auto &[Pool, Seen] : Versions_)
+    Ambiguous[Pool] = isAmbiguous(Pool, Now);
+  if (std::none_of(Ambiguous.begin(), Ambiguous.end(),
                    [](const auto &Each) { return Each.second; }))
     return Taken;
   std::erase_if(Unwritten_, [&](const std::string &Attempt) {
     const StreamOrigin *Origin = find(Attempt);
-    if (Origin && !IsAmbiguous[Origin->Pool_])
+    if (Origin && !Ambiguous[Origin->Pool_])
       return false;
     if (Origin)
       Taken.push_back(*Origin);
@@ -76,17 +156,26 @@
   return Taken;
 }
 
+void StreamVersions::markWritten(const std::vector<StreamOrigin> &Written) {
+  for (const StreamOrigin &Each : Written) {
+    auto Known = Streams_.find(Each.Attempt_);
+    if (Known != Streams_.end() &&
+        Known->second.Origin_.Software_ == Each.Software_)
+      Known->second.Written_ = true;
+  }
+}
+
 std::vector<PoolVersion> StreamVersions::versions() const {
   std::vector<PoolVersion> All;
   for (const auto &[Pool, Seen] : Versions_)
-    for (const auto &[Software, LastSeen] : Seen)
-      All.push_back({Pool, Software, LastSeen});
+    for (const auto &[Software, Each] : Seen)
+      All.push_back({Pool, Software, Each.LastSeenAt_, Each.Rank_});
   return All;
 }
 
 void StreamVersions::sweep(base::TimePoint Now) {
   while (!Order_.empty() &&
-         Now - Streams_.at(Order_.front()).BeganAt_ >= Lifetime) {
+         Now - Streams_.at(Order_.front()).Origin_.BeganAt_ >= Lifetime) {
     Streams_.erase(Order_.front());
     Order_.pop_front();
   }
@@ -95,7 +184,7 @@
   });
   for (auto &[Pool, Seen] : Versions_)
     std::erase_if(Seen, [Now](const auto &Each) {
-      return Now - Each.second >= Lifetime;
+      return Now - Each.second.LastSeenAt_ >= WriteTime;
     });
 }
 
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace camphorwind::direct {
@@ -48,7 +49,7 @@
     Streams.setHistoryKnown();
   for (const std::string &Each : Case.Listed_)
     Streams.markListed(Pool, Each, Now);
-  EXPECT_EQ(Streams.onlyVersion(Pool, Now), Case.Only_);
+  EXPECT_EQ(Streams.versionOfUnwritten(Pool, Now), Case.Only_);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -60,7 +61,8 @@
         OnlyVersionCase{.Name_ = "one_has_just_left",
                         .Listed_ = {"v2"},
                         .Earlier_ = "v1",
-                        .Age_ = 5s},
+                        .Age_ = 5s,
+                        .Only_ = "v1"},
         OnlyVersionCase{.Name_ = "one_left_long_ago",
                         .Listed_ = {"v2"},
                         .Earlier_ = "v1",
@@ -80,25 +82,149 @@
   StreamVersions Streams(Start);
   Streams.setHistoryKnown();
   Streams.markListed(Pool, "v1", Start);
-  Streams.began({"a1", Pool, "v1", Start});
+  Streams.sent({"a1", Pool, "v1", Start});
   EXPECT_TRUE(Streams.takeUnwritten(Start).empty());
   Streams.markListed(Pool, "v2", Start + 1s);
-  Streams.began({"a2", Pool, "v2", Start + 1s});
+  Streams.sent({"a2", Pool, "v2", Start + 1s});
   EXPECT_EQ(Streams.takeUnwritten(Start + 1s).size(), 2u);
   EXPECT_TRUE(Streams.takeUnwritten(Start + 1s).empty());
 }
 
 TEST(StreamVersionsTest, TheTableDoesNotReplaceWhatThisRouterKnows) {
   StreamVersions Streams(Start);
-  Streams.began({"a1", Pool, "v1", Start});
+  Streams.sent({"a1", Pool, "v1", Start});
   Streams.add({"a1", Pool, "v2", Start});
   EXPECT_EQ(Streams.find("a1")->Software_, "v1");
 }
 
+/// Versions in the order in which a router learned of them, and what it may
+/// assume of a stream that the table lacks.
+struct OrderCase {
+  std::string Name_;
+  /// Versions of the table when it was first read.
+  std::vector<PoolVersion> Table_;
+  /// Versions listed before the table was read, at its start, and afterwards.
+  std::vector<std::pair<std::string, std::chrono::milliseconds>> Early_;
+  std::vector<std::pair<std::string, std::chrono::milliseconds>> Late_;
+  /// Versions that the table names later.
+  std::vector<PoolVersion> Learned_;
+  bool OrderLost_ = false;
+  std::optional<std::string> Unwritten_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const OrderCase &Value) {
+  return Out << Value.Name_;
+}
+
+class VersionOrderTest : public testing::TestWithParam<OrderCase> {};
+
+/// Guards against streams that can't be taken up because the router that began
+/// them stopped before it saw a second version, and against streams of that
+/// version taken for theirs.
+TEST_P(VersionOrderTest, UnwrittenStreamIsOfTheFirstVersion) {
+  const OrderCase &Case = GetParam();
+  StreamVersions Streams(Start);
+  for (const auto &[Software, At] : Case.Early_)
+    Streams.markListed(Pool, Software, Start + At);
+  for (const PoolVersion &Each : Case.Table_)
+    Streams.addVersion(Each);
+  Streams.setHistoryKnown();
+  base::TimePoint Now = Start;
+  for (const auto &[Software, At] : Case.Late_) {
+    Now = Start + At;
+    Streams.markListed(Pool, Software, Now);
+  }
+  for (const PoolVersion &Each : Case.Learned_)
+    Streams.addVersion(Each);
+  if (Case.OrderLost_)
+    Streams.forgetOrder(Now);
+  EXPECT_EQ(Streams.versionOfUnwritten(Pool, Now), Case.Unwritten_);
+  EXPECT_EQ(Streams.needsWriting(Pool, "v9", Now), Case.Unwritten_.has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Orders, VersionOrderTest,
+    testing::Values(OrderCase{.Name_ = "second_joins_later",
+                              .Late_ = {{"v1", 0s}, {"v2", 5s}},
+                              .Unwritten_ = "v1"},
+                    OrderCase{.Name_ = "first_joins_later_by_name",
+                              .Late_ = {{"v2", 0s}, {"v1", 5s}},
+                              .Unwritten_ = "v2"},
+                    OrderCase{.Name_ = "third_joins",
+                              .Late_ = {{"v1", 0s}, {"v2", 5s}, {"v3", 9s}},
+                              .Unwritten_ = "v1"},
+                    OrderCase{.Name_ = "both_at_once",
+                              .Late_ = {{"v1", 0s}, {"v2", 200ms}}},
+                    OrderCase{.Name_ = "first_has_left",
+                              .Late_ = {{"v1", 0s}, {"v2", 5s}, {"v2", 66s}},
+                              .Unwritten_ = "v2"},
+                    OrderCase{.Name_ = "restarted_between",
+                              .Table_ = {{Pool, "v1", Start, 0},
+                                         {Pool, "v2", Start, 1}},
+                              .Early_ = {{"v1", 0s}, {"v2", 0s}},
+                              .Unwritten_ = "v1"},
+                    OrderCase{.Name_ = "joins_before_the_table_is_read",
+                              .Table_ = {{Pool, "v1", Start, 3}},
+                              .Early_ = {{"v2", 0s}, {"v1", 0s}},
+                              .Unwritten_ = "v1"},
+                    OrderCase{.Name_ = "another_router_knows_no_order",
+                              .Late_ = {{"v1", 0s}, {"v2", 5s}},
+                              .Learned_ = {{Pool, "v2", Start, 0}}},
+                    OrderCase{.Name_ = "another_router_knows_a_second",
+                              .Late_ = {{"v1", 0s}},
+                              .Learned_ = {{Pool, "v2", Start, 1}},
+                              .Unwritten_ = "v1"},
+                    OrderCase{.Name_ = "table_restored",
+                              .Late_ = {{"v1", 0s}, {"v2", 5s}},
+                              .OrderLost_ = true},
+                    OrderCase{.Name_ = "table_restored_with_one_version",
+                              .Late_ = {{"v1", 0s}},
+                              .OrderLost_ = true,
+                              .Unwritten_ = "v1"}),
+    [](const auto &Info) { return Info.param.Name_; });
+
+/// Guards against routers that disagree about the time at which a version has
+/// left: one assumes the next version while another does not write its streams.
+TEST(StreamVersionsTest, StreamsAreWrittenForLongerThanTheFirstIsAssumed) {
+  StreamVersions Streams(Start);
+  Streams.setHistoryKnown();
+  Streams.markListed(Pool, "v1", Start);
+  Streams.markListed(Pool, "v2", Start + 5s);
+  base::TimePoint Left = Start + StreamVersions::Lifetime;
+  EXPECT_EQ(Streams.versionOfUnwritten(Pool, Left - 1s), "v1");
+  EXPECT_FALSE(Streams.needsWriting(Pool, "v1", Left - 1s));
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v2", Left - 1s));
+  EXPECT_EQ(Streams.versionOfUnwritten(Pool, Left), "v2");
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v2", Left));
+  base::TimePoint Settled = Start + StreamVersions::WriteTime;
+  Streams.markListed(Pool, "v2", Settled);
+  EXPECT_FALSE(Streams.needsWriting(Pool, "v2", Settled));
+}
+
+/// Guards against a stream that another endpoint has begun than the one that
+/// the table names.
+TEST(StreamVersionsTest, LastSendDecides) {
+  StreamVersions Streams(Start);
+  Streams.setHistoryKnown();
+  Streams.sent({"a1", Pool, "v1", Start});
+  Streams.markWritten({{"a1", Pool, "v1", Start}});
+  EXPECT_TRUE(Streams.isWritten("a1"));
+  Streams.sent({"a1", Pool, "v2", Start + 1s});
+  EXPECT_FALSE(Streams.isWritten("a1"));
+  Streams.markWritten({{"a1", Pool, "v1", Start}});
+  EXPECT_FALSE(Streams.isWritten("a1"));
+  EXPECT_EQ(Streams.find("a1")->Software_, "v2");
+
+  StreamVersions Others(Start);
+  Others.add({"a1", Pool, "v2", Start + 1s});
+  Others.add({"a1", Pool, "v1", Start});
+  EXPECT_EQ(Others.find("a1")->Software_, "v2");
+}
+
 TEST(StreamVersionsTest, OldAndExcessStreamsAreForgotten) {
   StreamVersions Streams(Start);
   for (std::size_t Index = 0; Index <= StreamVersions::MaxStreams; ++Index)
-    Streams.began({std::to_string(Index), Pool, "v1", Start});
+    Streams.sent({std::to_string(Index), Pool, "v1", Start});
   EXPECT_EQ(Streams.find("0"), nullptr);
   EXPECT_NE(Streams.find("1"), nullptr);
   Streams.sweep(Start + StreamVersions::Lifetime);
