Wait for a silent endpoint if no other one can take the request

Cause: a stalled attempt was given up before another endpoint was looked for.

SilenceTest, 3 of 4 cases failed before: only_endpoint, only_endpoint_of_its_version, no_head_from_the_only_endpoint. Now an attempt is given up only if the next one can be placed at an endpoint that is not silent.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -886,6 +886,13 @@
     checkStall(Now);
 }
 
+bool ForwardedRequest::hasAlternative(base::TimePoint Now) const {
+  std::vector<base::EndpointId> Excluded = excludedEndpoints();
+  auto &Selector = Context_.poolState(Pool_).Selector_;
+  auto Next = Selector.choose(makePlacementRequest(Excluded), Now);
+  return Next && !Selector.silent(Next.value().Endpoint_, Now);
+}
+
 void ForwardedRequest::checkStall(base::TimePoint Now) {
   // A request that may not run again gains nothing from being abandoned.
   if (!Route_->repeatable() || PossibleRuns_ + 1 >= Route_->MaxAttempts_ ||
@@ -907,7 +914,7 @@
   if (!(EndpointSilent && SilentFor > StallTimeout / 2) &&
       SilentFor <= StallTimeout)
     return;
-  if (!Pool.Retries_.available(Now))
+  if (!Pool.Retries_.available(Now) || !hasAlternative(Now))
     return;
   Context_.Origins_.cancel(Attempt_.Call_);
   AttemptActive_ = false;
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -162,8 +162,10 @@
   void recordSuccess();
   /// Reports the failed attempt to the pool's endpoint selection.
   void recordFailure(routing::FailureKind Kind);
+  /// Whether an endpoint other than those tried could take the request now.
+  bool hasAlternative(base::TimePoint Now) const;
   /// Abandons an attempt that has sent no data for too long, if the request may
-  /// be retried.
+  /// be retried and there is an endpoint for it.
   void checkStall(base::TimePoint Now);
 
   void onCallerDisconnect();
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -61,6 +61,10 @@
   HoldOff,
   /// Streams large events without end.
   FloodingStream,
+  /// Falls silent for 1.8 s after the first event of a stream.
+  SilentStream,
+  /// Falls silent for 1.8 s before it answers.
+  SilentResponse,
 };
 
 /// Behaviors for successive requests, whichever endpoint receives them. Once
@@ -170,6 +174,23 @@
       });
       DripTimer_->startRepeating(5ms);
       return;
+    case EndpointBehavior::SilentStream:
+      Exchange->startStream(200, responseHeaders());
+      Exchange->write(event(1));
+      DripTimer_ = std::make_unique<net::Timer>(Loop_, [Exchange] {
+        Exchange->write(event(2) + event(3));
+        Exchange->endStream();
+      });
+      DripTimer_->start(1800ms);
+      return;
+    case EndpointBehavior::SilentResponse: {
+      net::HttpHeaders Headers = responseHeaders();
+      DripTimer_ = std::make_unique<net::Timer>(Loop_, [Exchange, Headers] {
+        Exchange->respond({200, Headers, "whole"});
+      });
+      DripTimer_->start(1800ms);
+      return;
+    }
     case EndpointBehavior::NoResponse:
       OpenExchanges_.push_back(Exchange);
     }
@@ -809,6 +830,59 @@
   EXPECT_EQ(receivedRequests(), 1u);
 }
 
+/// An endpoint that falls silent for a while, and what else there is.
+struct SilenceCase {
+  std::string_view Name_;
+  RequestKind Kind_ = RequestKind::Stream;
+  EndpointBehavior Behavior_ = EndpointBehavior::SilentStream;
+  /// Version of another endpoint, if there is one.
+  std::string_view Other_;
+  std::size_t Requests_ = 1;
+};
+
+std::ostream &operator<<(std::ostream &Out, const SilenceCase &Value) {
+  return Out << Value.Name_;
+}
+
+class SilenceTest : public DirectRouterTest,
+                    public testing::WithParamInterface<SilenceCase> {};
+
+/// Guards against requests that are cut, or refused, because their endpoint is
+/// given up for silent though no other one can take them.
+TEST_P(SilenceTest, AnswerIsAwaitedUnlessAnotherEndpointCanGiveIt) {
+  const SilenceCase &Case = GetParam();
+  configure(Case.Kind_, true);
+  Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+  list("silent", Endpoints_.back()->address());
+  Script_->push_back(Case.Behavior_);
+  if (!Case.Other_.empty()) {
+    Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+    list("other", Endpoints_.back()->address(), "far",
+         std::string(Case.Other_));
+    Script_->push_back(EndpointBehavior::CompleteStream);
+  }
+  CallerResponse Response = fetch(makeCall());
+  EXPECT_EQ(Response.Status_, 200u);
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(receivedRequests(), Case.Requests_);
+  if (Case.Kind_ == RequestKind::Stream) {
+    EXPECT_EQ(Response.Body_, AllEvents);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Endpoints, SilenceTest,
+    testing::Values(SilenceCase{.Name_ = "only_endpoint"},
+                    SilenceCase{.Name_ = "only_endpoint_of_its_version",
+                                .Other_ = "v2"},
+                    SilenceCase{.Name_ = "another_of_its_version",
+                                .Other_ = "v1",
+                                .Requests_ = 2},
+                    SilenceCase{.Name_ = "no_head_from_the_only_endpoint",
+                                .Kind_ = RequestKind::Idempotent,
+                                .Behavior_ = EndpointBehavior::SilentResponse}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 /// Bytes of callers that no process may fail on.
 struct HostileRequestCase {
   std::string Name_;
