Give a silent endpoint 1.5 s before its requests go elsewhere

Cause: the stall timeout was halved, to 0.6 s for streams and 0.75 s before the head, if the endpoint was silent to all requests; a sound endpoint that stands still looks just like that.

SilenceTest, short_silence_of_a_stream and short_silence_before_the_head, failed before.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -47,16 +47,17 @@
 /// Largest event of a stream.
 constexpr std::size_t MaxEventBytes = 1024UL * 1024;
 constexpr milliseconds ConnectTimeout = 500ms;
-/// A stream that sends no data for this long is resumed at another endpoint, if
-/// the route allows it; after half of this time if the endpoint sends nothing
-/// to other requests either.
-constexpr milliseconds StreamStallTimeout = 1200ms;
+/// A sound endpoint may fall silent for about a second and go on. An attempt
+/// that has been silent for less is not given up: the endpoint would work on it
+/// beside the next one.
+constexpr milliseconds MaxSoundSilence = 1500ms;
 /// A stream that has been slow all along is given this multiple of its longest
 /// gap so far, if that is more.
 constexpr int StreamGapMultiple = 4;
 /// An attempt without a response head times out after the larger of these
 /// multiples of the expected time and of the route's objective; after half of
-/// that if the endpoint sends nothing to other requests either.
+/// that, but not before MaxSoundSilence, if the endpoint sends nothing to other
+/// requests either.
 constexpr int StallExpectedTimeMultiple = 4;
 constexpr int StallObjectiveMultiple = 3;
 /// Once the configuration source has been unreachable for longer than this, a
@@ -906,13 +907,14 @@
   // work and load another endpoint. An endpoint that sends nothing at all may
   // be down, so it gets only half of the timeout.
   base::Duration StallTimeout = std::max<base::Duration>(
-      StreamStallTimeout, StreamGapMultiple * Attempt_.LongestGap_);
+      MaxSoundSilence, StreamGapMultiple * Attempt_.LongestGap_);
   if (!Attempt_.HeadReceived_)
     StallTimeout = std::max<base::Duration>(
         StallExpectedTimeMultiple * Placement_.ExpectedFirstByte_,
         StallObjectiveMultiple * Route_->FirstByteObjective_);
-  if (!(EndpointSilent && SilentFor > StallTimeout / 2) &&
-      SilentFor <= StallTimeout)
+  if (EndpointSilent)
+    StallTimeout = std::max<base::Duration>(StallTimeout / 2, MaxSoundSilence);
+  if (SilentFor <= StallTimeout)
     return;
   if (!Pool.Retries_.available(Now) || !hasAlternative(Now))
     return;
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -61,9 +61,9 @@
   HoldOff,
   /// Streams large events without end.
   FloodingStream,
-  /// Falls silent for 1.8 s after the first event of a stream.
+  /// Falls silent after the first event of a stream, see Silence_.
   SilentStream,
-  /// Falls silent for 1.8 s before it answers.
+  /// Falls silent before it answers.
   SilentResponse,
 };
 
@@ -91,6 +91,7 @@
 
   std::vector<net::HttpRequest> Requests_;
   int Disconnects_ = 0;
+  std::chrono::milliseconds Silence_{1800};
   /// Requests per second stated in all responses, if not empty.
   std::string RequestLimit_;
 
@@ -181,14 +182,14 @@
         Exchange->write(event(2) + event(3));
         Exchange->endStream();
       });
-      DripTimer_->start(1800ms);
+      DripTimer_->start(Silence_);
       return;
     case EndpointBehavior::SilentResponse: {
       net::HttpHeaders Headers = responseHeaders();
       DripTimer_ = std::make_unique<net::Timer>(Loop_, [Exchange, Headers] {
         Exchange->respond({200, Headers, "whole"});
       });
-      DripTimer_->start(1800ms);
+      DripTimer_->start(Silence_);
       return;
     }
     case EndpointBehavior::NoResponse:
@@ -837,6 +838,7 @@
   EndpointBehavior Behavior_ = EndpointBehavior::SilentStream;
   /// Version of another endpoint, if there is one.
   std::string_view Other_;
+  std::chrono::milliseconds Silence_{1800};
   std::size_t Requests_ = 1;
 };
 
@@ -848,11 +850,13 @@
                     public testing::WithParamInterface<SilenceCase> {};
 
 /// Guards against requests that are cut, or refused, because their endpoint is
-/// given up for silent though no other one can take them.
+/// given up for silent though no other one can take them, and against requests
+/// that run at a second endpoint while a sound one still works on them.
 TEST_P(SilenceTest, AnswerIsAwaitedUnlessAnotherEndpointCanGiveIt) {
   const SilenceCase &Case = GetParam();
   configure(Case.Kind_, true);
   Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+  Endpoints_.back()->Silence_ = Case.Silence_;
   list("silent", Endpoints_.back()->address());
   Script_->push_back(Case.Behavior_);
   if (!Case.Other_.empty()) {
@@ -878,6 +882,14 @@
                     SilenceCase{.Name_ = "another_of_its_version",
                                 .Other_ = "v1",
                                 .Requests_ = 2},
+                    SilenceCase{.Name_ = "short_silence_of_a_stream",
+                                .Other_ = "v1",
+                                .Silence_ = 1300ms},
+                    SilenceCase{.Name_ = "short_silence_before_the_head",
+                                .Kind_ = RequestKind::Idempotent,
+                                .Behavior_ = EndpointBehavior::SilentResponse,
+                                .Other_ = "v1",
+                                .Silence_ = 1300ms},
                     SilenceCase{.Name_ = "no_head_from_the_only_endpoint",
                                 .Kind_ = RequestKind::Idempotent,
                                 .Behavior_ = EndpointBehavior::SilentResponse}),
