Answer open requests before a planned stop ends the process

Cause: the end of the process was no part of a request's deadline. Requests were cut with their connections, a stalled attempt was given up for one that could not end in time, and a process that stood still counted from when it read the signal.

Now open requests get 502 (503 if they have not run) 0.2 s before the end, an attempt is given up only for one that has as much time, and the time counts from when the process last ran.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -31,6 +31,11 @@
 /// Longer than any idle timeout that the configuration can set for callers'
 /// connections.
 constexpr auto CallerIdleTimeout = 75s;
+/// A process that does not tick twice within this time has stood still.
+constexpr auto MaxTurn = 300ms;
+/// Time before the end of the process at which requests that are still open are
+/// answered.
+constexpr auto FinalAnswerTime = 200ms;
 constexpr std::size_t MaxHeaderBytes = 32UL * 1024;
 constexpr std::size_t MaxReadinessHeaderBytes = 8UL * 1024;
 
@@ -238,6 +243,7 @@
 
   void tick() {
     base::TimePoint Now = Context_.Loop_.now();
+    PreviousTickAt_ = std::exchange(TickedAt_, Now);
     Context_.Endpoints_.tick(Now);
     Context_.applyEndpointChanges();
     for (auto &[Id, Pool] : Context_.Pools_)
@@ -302,7 +308,10 @@
     if (Context_.Stopping_)
       return;
     Context_.Stopping_ = true;
-    StopRequestedAt_ = Context_.Loop_.now();
+    // A process that stood still may read a signal long after it was sent.
+    base::TimePoint Now = Context_.Loop_.now();
+    StopRequestedAt_ = Now - PreviousTickAt_ > MaxTurn ? PreviousTickAt_ : Now;
+    Context_.EndsAt_ = StopRequestedAt_ + Context_.Settings_.ShutdownTimeout_;
     Context_.RefusesFrom_ = StopRequestedAt_ + Context_.Settings_.DrainDelay_;
     OnStopped_ = std::move(OnStopped);
     CallerServer_->closeAfterAnswers();
@@ -312,7 +321,6 @@
   }
 
   void continueStop(base::TimePoint Now) {
-    base::Duration Elapsed = Now - StopRequestedAt_;
     bool RefusesNew = Context_.refusesNew(Now);
     if (RefusesNew) {
       CallerServer_->stopAccepting();
@@ -320,10 +328,12 @@
       // end: the table may be unreachable when the last request has ended.
       Context_.Escrow_.close();
     }
+    if (Now >= *Context_.EndsAt_ - FinalAnswerTime)
+      for (const auto &Each : Context_.openRequests())
+        Each->onProcessEnd();
     bool Idle = RefusesNew && Context_.OpenRequests_.empty() &&
                 CallerServer_->inProgress() == 0;
-    if ((Idle && Context_.Escrow_.closed()) ||
-        Elapsed >= Context_.Settings_.ShutdownTimeout_) {
+    if ((Idle && Context_.Escrow_.closed()) || Now >= *Context_.EndsAt_) {
       if (auto Callback = std::exchange(OnStopped_, nullptr))
         Callback();
     }
@@ -337,6 +347,10 @@
   std::optional<base::TimePoint> ClaimsReadAt_;
   base::TimePoint SweptAt_{};
   bool LoggedReady_ = false;
+  base::TimePoint TickedAt_ = Context_.Loop_.now();
+  base::TimePoint PreviousTickAt_ = TickedAt_;
+  /// When the stop was requested, or the last time before it that the process
+  /// is known to have run.
   base::TimePoint StopRequestedAt_{};
   std::function<void()> OnStopped_;
 };
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -916,6 +916,9 @@
     StallTimeout = std::max<base::Duration>(StallTimeout / 2, MaxSoundSilence);
   if (SilentFor <= StallTimeout)
     return;
+  // The next attempt may need as long as this one already took.
+  if (Context_.EndsAt_ && Now + (Now - Attempt_.SentAt_) > *Context_.EndsAt_)
+    return;
   if (!Pool.Retries_.available(Now) || !hasAlternative(Now))
     return;
   Context_.Origins_.cancel(Attempt_.Call_);
@@ -929,6 +932,18 @@
   onAttemptFailed("stalled", routing::FailureKind::Stalled);
 }
 
+void ForwardedRequest::onProcessEnd() {
+  if (Finished_ || !Route_)
+    return;
+  if (AttemptActive_) {
+    Context_.Origins_.cancel(Attempt_.Call_);
+    AttemptActive_ = false;
+    recordFailure(routing::FailureKind::Cancelled);
+    ++PossibleRuns_;
+  }
+  refuse(RefusalReason::ShuttingDown);
+}
+
 void ForwardedRequest::onCallerDisconnect() {
   if (Finished_)
     return;
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -38,6 +38,9 @@
   /// Passes on the events that were held back, unless they still have to be;
   /// call when streams were written to the table.
   void passOnHeldEvents();
+  /// Ends the request because the process is about to end: with a response, or
+  /// by cutting off the stream if one has started.
+  void onProcessEnd();
 
 private:
   /// State of the current attempt.
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -117,6 +117,8 @@
   bool Stopping_ = false;
   /// When new requests begin to be refused; unset if no stop was requested.
   std::optional<base::TimePoint> RefusesFrom_;
+  /// When the process ends at the latest; unset if no stop was requested.
+  std::optional<base::TimePoint> EndsAt_;
   /// Called when a request starts to wait for tokens; may be empty.
   std::function<void()> OnTokensNeeded_;
 };
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1572,6 +1572,70 @@
         RouteTimeoutCase{.Name_ = "stream_not_read", .StreamsUnread_ = true}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// A request that is open when its router is stopped; the process has to end
+/// 2 s after that.
+struct PlannedStopCase {
+  std::string_view Name_;
+  RequestKind Kind_ = RequestKind::Idempotent;
+  EndpointBehavior Behavior_ = EndpointBehavior::NoResponse;
+  unsigned Status_ = 502;
+};
+
+std::ostream &operator<<(std::ostream &Out, const PlannedStopCase &Value) {
+  return Out << Value.Name_;
+}
+
+class PlannedStopTest : public DirectRouterTest,
+                        public testing::WithParamInterface<PlannedStopCase> {};
+
+/// Guards against requests that a planned stop cuts off without an answer, also
+/// because an attempt is given up for another that can't end in time.
+TEST_P(PlannedStopTest, OpenRequestIsAnsweredBeforeTheProcessEnds) {
+  const PlannedStopCase &Case = GetParam();
+  configure(Case.Kind_, false, 9000ms);
+  addEndpoint({Case.Behavior_, EndpointBehavior::NoResponse});
+  addEndpoint();
+  bool Stopped = false;
+  net::Timer Stop(*Loop_, [&] { Router_->stop([&] { Stopped = true; }); });
+  Stop.start(50ms);
+  net::OriginRequest Request = makeCall();
+  Request.Headers_ = {{"Host", "shop.example"},
+                      {"Authorization", "Bearer secret"},
+                      {"X-Attempt-Id", "a1"},
+                      {"X-Time-Left-Ms", "9000"}};
+  CallerResponse Response = fetch(std::move(Request));
+  EXPECT_FALSE(Stopped);
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(Response.Status_, Case.Status_);
+  EXPECT_EQ(receivedRequests(), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, PlannedStopTest,
+    testing::Values(PlannedStopCase{.Name_ = "may_run_once",
+                                    .Kind_ = RequestKind::NonIdempotent},
+                    PlannedStopCase{
+                        .Name_ = "answered_in_time",
+                        .Behavior_ = EndpointBehavior::SilentResponse,
+                        .Status_ = 200}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
+/// Guards against a process that stands still when it is told to stop, and then
+/// counts its time from when it reads that: it is killed before it has ended.
+TEST_F(DirectRouterTest, TimeToStopCountsFromBeforeTheProcessStoodStill) {
+  configure(RequestKind::NonIdempotent);
+  addEndpoint({EndpointBehavior::NoResponse});
+  Caller_.start(makeCall(),
+                {[](const auto &) { return net::HeadVerdict::Accept; },
+                 [](auto) {}, [](const auto &) {}});
+  wait(100ms);
+  bool Stopped = false;
+  std::this_thread::sleep_for(1500ms);
+  Router_->stop([&Stopped] { Stopped = true; });
+  wait(700ms);
+  EXPECT_TRUE(Stopped);
+}
+
 TEST_F(DirectRouterTest, StoppingRouterIsNotReadyAndRefusesLateRequests) {
   configure(RequestKind::NonIdempotent);
   addEndpoint();
