Limit what all responses of a router hold together

Whole answers are no longer copied for delivery, and streams to slow callers leave room from half of the limit on.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -88,6 +88,19 @@
   Streams_.sweep(Now);
 }
 
+void ForwardingContext::limitResponseBytes() {
+  while (ResponseBytes_->exceeded()) {
+    std::shared_ptr<ForwardedRequest> Largest;
+    for (const auto &Each : OpenRequests_)
+      if (Each->collectedBytes() >
+          (Largest ? Largest->collectedBytes() : std::size_t{0}))
+        Largest = Each;
+    if (!Largest)
+      return;
+    Largest->onOversized();
+  }
+}
+
 void ForwardingContext::endpointLeaving(const base::EndpointId &Id) {
   Endpoints_.markLeaving(Id);
   applyEndpointChanges();
@@ -452,6 +465,9 @@
 void DirectRouter::onStreamLookup(StreamLookup Lookup) {
   Inner_->Context_.FindStream_ = std::move(Lookup);
 }
+std::size_t DirectRouter::responseBytes() const {
+  return Inner_->Context_.ResponseBytes_->Held_;
+}
 observe::Metrics &DirectRouter::metrics() { return Inner_->Context_.Metrics_; }
 bool DirectRouter::ready() const { return Inner_->ready(); }
 void DirectRouter::stop(std::function<void()> OnStopped) {
--- a/daemons/direct/direct-router.h
+++ b/daemons/direct/direct-router.h
@@ -12,6 +12,7 @@
 #include "camphorwind/net/loop.h"
 #include "camphorwind/observe/metrics.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -71,6 +72,9 @@
   /// Sets how streams are found that this router did not begin.
   void onStreamLookup(StreamLookup Lookup);
 
+  /// Returns the bytes of responses that count for
+  /// DirectSettings::MaxResponseBytes_.
+  std::size_t responseBytes() const;
   observe::Metrics &metrics();
   /// Whether the configuration, the endpoint list and the budget table are
   /// loaded and no stop was requested.
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -37,6 +37,9 @@
 /// Unsent bytes of a stream to a slow caller above which reading from the
 /// endpoint is paused.
 constexpr std::size_t MaxBufferedBytes = 256UL * 1024;
+/// Limit in place of MaxBufferedBytes while all responses hold more than half
+/// of what they may, so that slow callers leave room for others.
+constexpr std::size_t MaxScarceBufferedBytes = 16UL * 1024;
 /// A connection that was idle for longer is not reused for requests that may
 /// run only once, because the endpoint may have closed it.
 constexpr milliseconds MaxIdleIfNotRepeatable = 2000ms;
@@ -108,7 +111,8 @@
                                    std::shared_ptr<net::HttpExchange> Exchange)
     : Context_(Context), Request_(std::move(Request)),
       Exchange_(std::move(Exchange)), View_(Context.View_.current()),
-      ArrivedAt_(Request_.arrivedAt()), WholeAt_(Context.Loop_.now()) {}
+      ArrivedAt_(Request_.arrivedAt()), WholeAt_(Context.Loop_.now()),
+      Charge_(std::make_shared<ResponseCharge>(Context.ResponseBytes_)) {}
 
 void ForwardedRequest::start() {
   Context_.OpenRequests_.insert(shared_from_this());
@@ -610,6 +614,7 @@
     Attempt_.Body_.append(Data);
     if (Attempt_.Body_.size() > MaxResponseBytes)
       onOversized();
+    chargeResponse();
     return;
   }
   bool HadEvents = EventStream_.eventCount() > 0;
@@ -627,6 +632,25 @@
   }
   if (EventStream_.unfinishedBytes() > MaxEventBytes)
     onOversized();
+  chargeResponse();
+}
+
+std::size_t ForwardedRequest::maxBufferedBytes() const {
+  const ResponseBytes &All = *Context_.ResponseBytes_;
+  return All.Held_ > All.Limit_ / 2 ? MaxScarceBufferedBytes : MaxBufferedBytes;
+}
+
+std::size_t ForwardedRequest::collectedBytes() const {
+  if (!AttemptActive_)
+    return 0;
+  return Attempt_.Body_.capacity() + EventStream_.unfinishedBytes() +
+         HeldEvents_.capacity();
+}
+
+void ForwardedRequest::chargeResponse() {
+  Charge_->set(collectedBytes() + Exchange_->buffered());
+  if (AttemptActive_)
+    Context_.limitResponseBytes();
 }
 
 void ForwardedRequest::onOversized() {
@@ -637,7 +661,10 @@
                 {"endpoint", Placement_.Endpoint_.str()},
                 {"streaming", Attempt_.Streaming_},
                 {"bytes", Attempt_.Body_.size()},
-                {"unfinished_bytes", EventStream_.unfinishedBytes()}});
+                {"unfinished_bytes", EventStream_.unfinishedBytes()},
+                {"bytes_of_all", Context_.ResponseBytes_->Held_}});
+  Attempt_.Body_ = {};
+  Charge_->set(Exchange_->buffered());
   onAttemptFailed("oversized", routing::FailureKind::Failed);
 }
 
@@ -673,13 +700,15 @@
     Exchange_->startStream(Attempt_.Status_, Attempt_.Headers_);
   }
   Exchange_->write(Events);
-  if (Exchange_->buffered() <= MaxBufferedBytes || !AttemptActive_)
+  if (Exchange_->buffered() <= maxBufferedBytes() || !AttemptActive_)
     return;
   Context_.Origins_.setReading(Attempt_.Call_, false);
   Exchange_->onDrain([Weak = weak_from_this()] {
     auto Self = Weak.lock();
-    if (Self && Self->AttemptActive_ &&
-        Self->Exchange_->buffered() <= MaxBufferedBytes / 2)
+    if (!Self || !Self->AttemptActive_)
+      return;
+    Self->chargeResponse();
+    if (Self->Exchange_->buffered() <= Self->maxBufferedBytes() / 2)
       Self->Context_.Origins_.setReading(Self->Attempt_.Call_, true);
   });
 }
@@ -987,7 +1016,9 @@
 void ForwardedRequest::respondWith(unsigned Status,
                                    const net::HttpHeaders &Headers,
                                    std::string Body) {
-  Exchange_->respond({Status, Headers, std::move(Body)});
+  // The body counts until its caller has taken it.
+  Charge_->set(Body.capacity());
+  Exchange_->respond({Status, Headers, std::move(Body), std::move(Charge_)});
   finish("answered", Status);
 }
 
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -41,6 +41,11 @@
   /// Ends the request because the process is about to end: with a response, or
   /// by cutting off the stream if one has started.
   void onProcessEnd();
+  /// Returns the bytes of a response that is not whole yet, as far as they are
+  /// kept.
+  std::size_t collectedBytes() const;
+  /// Ends the attempt because its response is larger than it may be.
+  void onOversized();
 
 private:
   /// State of the current attempt.
@@ -137,8 +142,12 @@
   /// Adds the endpoints whose streams could not be written to the table now, if
   /// there are others.
   void excludeUnwritable(std::vector<base::EndpointId> &Excluded) const;
-  /// Ends an attempt whose response is larger than any may be.
-  void onOversized();
+  /// Returns the number of unsent bytes of the stream above which reading from
+  /// the endpoint is paused.
+  std::size_t maxBufferedBytes() const;
+  /// Counts the bytes that the response holds now, and ends the largest
+  /// responses if all hold too many.
+  void chargeResponse();
   void onEnd(const base::Result<void, net::OriginError> &Result);
   void onResponseComplete();
   /// Handles the end of a response that is a stream.
@@ -239,6 +248,7 @@
   bool StreamStarted_ = false;
   /// Events received before the stream may start.
   std::string HeldEvents_;
+  std::shared_ptr<ResponseCharge> Charge_;
   std::optional<base::TimePoint> FirstByteAt_;
   bool Finished_ = false;
 };
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -4,6 +4,7 @@
 #include "crash-reports.h"
 #include "crash-watch.h"
 #include "direct-router.h"
+#include "response-bytes.h"
 #include "settings.h"
 
 #include "camphorwind/base/random.h"
@@ -71,6 +72,9 @@
   void quarantineChanged();
   /// Notes which software versions serve, and forgets old ones.
   void updateStreamVersions();
+  /// Ends the attempts with the largest responses until all responses are
+  /// within the limit.
+  void limitResponseBytes();
   /// Takes the changes of Endpoints_ over into the pools.
   void applyEndpointChanges();
   /// Whether a request that arrives now is refused because of a stop.
@@ -109,6 +113,9 @@
   std::function<void()> OnReports_;
   observe::Metrics Metrics_;
   base::Random Random_ = base::systemRandom();
+  std::shared_ptr<ResponseBytes> ResponseBytes_ =
+      std::make_shared<ResponseBytes>(
+          ResponseBytes{0, Settings_.MaxResponseBytes_});
   /// Requests without a final response.
   std::unordered_set<std::shared_ptr<ForwardedRequest>> OpenRequests_;
   /// When the configuration source became unreachable; unset while reachable.
--- a/daemons/direct/settings.h
+++ b/daemons/direct/settings.h
@@ -7,6 +7,7 @@
 #include "camphorwind/routing/retry-window.h"
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 
 namespace camphorwind::direct {
@@ -31,6 +32,9 @@
   std::chrono::milliseconds DrainDelay_{2800};
   /// Longest time from SIGTERM to the end of the process.
   std::chrono::milliseconds ShutdownTimeout_{7200};
+  /// Bytes of all responses together that are not whole yet, or that their
+  /// callers have not taken.
+  std::size_t MaxResponseBytes_ = 64UL * 1024 * 1024;
 };
 
 } // namespace camphorwind::direct
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -244,7 +244,9 @@
 
 class DirectRouterTest : public testing::Test {
 protected:
-  explicit DirectRouterTest(std::chrono::milliseconds DrainDelay = 100ms)
+  explicit DirectRouterTest(
+      std::chrono::milliseconds DrainDelay = 100ms,
+      std::size_t MaxResponseBytes = DirectSettings().MaxResponseBytes_)
       : Loop_(std::move(net::Loop::create().value())), Caller_(*Loop_, {}) {
     budget::EscrowSettings EscrowOptions;
     EscrowOptions.Router_ = base::RouterId("r");
@@ -257,6 +259,7 @@
     Settings.ReadinessListen_ = net::test::freeAddress();
     Settings.DrainDelay_ = DrainDelay;
     Settings.ShutdownTimeout_ = 2s;
+    Settings.MaxResponseBytes_ = MaxResponseBytes;
     Listen_ = Settings.Listen_;
     ReadinessListen_ = Settings.ReadinessListen_;
     Router_ =
@@ -729,6 +732,46 @@
                                     "data: a\n"}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+class EndlessBodiesTest : public DirectRouterTest,
+                          public testing::WithParamInterface<EndlessBodyCase> {
+protected:
+  static constexpr std::size_t Limit = 1024UL * 1024;
+
+  EndlessBodiesTest() : DirectRouterTest(100ms, Limit) {}
+};
+
+/// Guards against a process that runs out of memory because each of many
+/// responses without end is within its own limit.
+TEST_P(EndlessBodiesTest, AllResponsesTogetherAreLimited) {
+  configure(GetParam().Kind_, true);
+  net::test::Reply Endless = {streamHead("")};
+  Endless.Endless_ = std::string(GetParam().Endless_);
+  constexpr int Calls = 12;
+  addScriptedEndpoint(std::vector<net::test::Reply>(2 * Calls, Endless));
+  std::size_t Largest = 0;
+  net::Timer Sample(
+      *Loop_, [&] { Largest = std::max(Largest, Router_->responseBytes()); });
+  Sample.startRepeating(1ms);
+  int Ended = 0;
+  for (int Call = 0; Call < Calls; ++Call)
+    Caller_.start(makeCall(),
+                  {[](const auto &) { return net::HeadVerdict::Accept; },
+                   [](auto) {}, [&](const auto &) { ++Ended; }});
+  for (int Turn = 0; Turn < 40 && Ended < Calls; ++Turn)
+    wait(100ms);
+  EXPECT_EQ(Ended, Calls);
+  EXPECT_GT(Largest, 0u);
+  EXPECT_LE(Largest, Limit);
+  wait(50ms);
+  EXPECT_EQ(Router_->responseBytes(), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies, EndlessBodiesTest,
+    testing::Values(EndlessBodyCase{"answer", RequestKind::Idempotent, "a"},
+                    EndlessBodyCase{"event", RequestKind::Stream, "a"}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 /// Engines that crash when they begin to answer a prompt with a certain part.
 class CrashingPartTest : public DirectRouterTest,
                          public testing::WithParamInterface<bool> {
--- a/libs/net/include/camphorwind/net/http.h
+++ b/libs/net/include/camphorwind/net/http.h
@@ -4,6 +4,7 @@
 #include "camphorwind/base/time.h"
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -57,6 +58,8 @@
   unsigned Status_ = 200;
   HttpHeaders Headers_;
   std::string Body_;
+  /// Released once the answer is out, or its caller is gone.
+  std::shared_ptr<void> Charge_ = nullptr;
 };
 
 /// Returns an answer that carries JSON text.
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -317,8 +317,14 @@
   }
 
   MHD_Result queueWhole() {
-    return queue(MHD_create_response_from_buffer(
-        Answer_.Body_.size(), Answer_.Body_.data(), MHD_RESPMEM_MUST_COPY));
+    // The response owns the body, and the charge for it.
+    auto *Sent = new HttpAnswer{Answer_.Status_,
+                                {},
+                                std::move(Answer_.Body_),
+                                std::move(Answer_.Charge_)};
+    return queue(MHD_create_response_from_buffer_with_free_callback_cls(
+        Sent->Body_.size(), Sent->Body_.data(),
+        [](void *Owned) { delete static_cast<HttpAnswer *>(Owned); }, Sent));
   }
 
   MHD_Result queueStream() {
