Leave a defined body behind when a response is delivered

The linter found that collectedBytes() may read a body that was moved from, and a product of int used as a size in EndlessBodiesTest. No change of behaviour.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -845,7 +845,8 @@
   }
   recordSuccess();
   FirstByteAt_ = Context_.Loop_.now();
-  respondWith(Attempt_.Status_, Attempt_.Headers_, std::move(Attempt_.Body_));
+  respondWith(Attempt_.Status_, Attempt_.Headers_,
+              std::exchange(Attempt_.Body_, {}));
 }
 
 bool ForwardedRequest::allowRetry(bool MayHaveArrived) {
@@ -883,7 +884,8 @@
   }
   // The endpoint's own error response is more specific than the router's.
   if (!StreamStarted_ && Reason == "error_answer" && Attempt_.Signed_) {
-    respondWith(Attempt_.Status_, Attempt_.Headers_, std::move(Attempt_.Body_));
+    respondWith(Attempt_.Status_, Attempt_.Headers_,
+                std::exchange(Attempt_.Body_, {}));
     return;
   }
   refuse(Kind == routing::FailureKind::Stalled ? RefusalReason::EndpointStalled
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -746,14 +746,14 @@
   configure(GetParam().Kind_, true);
   net::test::Reply Endless = {streamHead("")};
   Endless.Endless_ = std::string(GetParam().Endless_);
-  constexpr int Calls = 12;
+  constexpr std::size_t Calls = 12;
   addScriptedEndpoint(std::vector<net::test::Reply>(2 * Calls, Endless));
   std::size_t Largest = 0;
   net::Timer Sample(
       *Loop_, [&] { Largest = std::max(Largest, Router_->responseBytes()); });
   Sample.startRepeating(1ms);
-  int Ended = 0;
-  for (int Call = 0; Call < Calls; ++Call)
+  std::size_t Ended = 0;
+  for (std::size_t Call = 0; Call < Calls; ++Call)
     Caller_.start(makeCall(),
                   {[](const auto &) { return net::HeadVerdict::Accept; },
                    [](auto) {}, [&](const auto &) { ++Ended; }});
