Log pauses of the process, and how long before a stalled attempt they ended

A router that did not run its loop can't tell whether an endpoint was silent. Without the length of its own pauses, attempt_stalled looks alike for both.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 using observe::LogLevel;
+using std::chrono::milliseconds;
 using namespace std::chrono_literals;
 
 /// Interval between checks of deadlines, stalled attempts and grace periods.
@@ -31,7 +32,7 @@
 /// Longer than any idle timeout that the configuration can set for callers'
 /// connections.
 constexpr auto CallerIdleTimeout = 75s;
-/// A process that does not tick twice within this time has stood still.
+/// A process that does not tick twice within this time has paused.
 constexpr auto MaxTurn = 300ms;
 /// Time before the end of the process at which requests that are still open are
 /// answered.
@@ -254,9 +255,23 @@
                   {"stopping", Context_.Stopping_}});
   }
 
+  /// Notes a pause of the process that has just ended, if there was one.
+  void notePause(base::TimePoint Now) {
+    if (Now - PreviousTickAt_ <= MaxTurn)
+      return;
+    Context_.Pause_ = {Now, Now - PreviousTickAt_};
+    Context_.Metrics_.observe("pause_seconds", Now - PreviousTickAt_);
+    observe::log(LogLevel::Warning, "process_paused",
+                 {{"for_ms", std::chrono::duration_cast<milliseconds>(
+                                 Now - PreviousTickAt_)
+                                 .count()},
+                  {"in_progress", Context_.OpenRequests_.size()}});
+  }
+
   void tick() {
     base::TimePoint Now = Context_.Loop_.now();
     PreviousTickAt_ = std::exchange(TickedAt_, Now);
+    notePause(Now);
     Context_.Endpoints_.tick(Now);
     Context_.applyEndpointChanges();
     for (auto &[Id, Pool] : Context_.Pools_)
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -959,6 +959,7 @@
                 {"endpoint", Placement_.Endpoint_.str()},
                 {"quiet_ms", toMilliseconds(SilentFor)},
                 {"endpoint_silent", EndpointSilent},
+                {"since_pause_ms", toMilliseconds(Now - Context_.Pause_.End_)},
                 {"streaming", Attempt_.Streaming_}});
   onAttemptFailed("stalled", routing::FailureKind::Stalled);
 }
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -17,6 +17,7 @@
 #include "camphorwind/observe/metrics.h"
 #include "camphorwind/routing/direct-pool.h"
 #include "camphorwind/routing/limit-claims.h"
+#include "camphorwind/routing/pause.h"
 #include "camphorwind/routing/quarantine.h"
 #include "camphorwind/routing/retry-window.h"
 
@@ -120,6 +121,7 @@
   std::unordered_set<std::shared_ptr<ForwardedRequest>> OpenRequests_;
   /// When the configuration source became unreachable; unset while reachable.
   std::optional<base::TimePoint> SourceLostAt_;
+  routing::Pause Pause_;
   /// A stop was requested; new requests are still accepted for a while.
   bool Stopping_ = false;
   /// When new requests begin to be refused; unset if no stop was requested.
