Read what has arrived before judging that nothing has

Cause: after a pause of the process - a long turn, such as for a large configuration, or a freeze - libev runs expired timers before it reads sockets. The router then judged attempts by the time in which it had itself read nothing: answers that waited in its sockets were given up as stalled, or as past their deadline, requests that it had not yet sent were given up, sound endpoints were ejected as silent or taken for slow, and connections that stood were dropped as not made in time.

Files now come before timers in each turn of the loop, so that data is read before a timer says that there is none. TurnWatcher notices pauses before anything else runs, and silence and speed are measured without them.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -32,7 +32,8 @@
 /// Longer than any idle timeout that the configuration can set for callers'
 /// connections.
 constexpr auto CallerIdleTimeout = 75s;
-/// A process that does not tick twice within this time has paused.
+/// A process that does not begin two turns of its loop within this time has
+/// paused.
 constexpr auto MaxTurn = 300ms;
 /// Time before the end of the process at which requests that are still open are
 /// answered.
@@ -191,7 +192,8 @@
 struct DirectRouter::Impl {
   Impl(net::Loop &EventLoop, DirectSettings Settings, budget::Escrow Escrow)
       : Context_(EventLoop, std::move(Settings), std::move(Escrow)),
-        Tick_(EventLoop, [this] { tick(); }) {}
+        Tick_(EventLoop, [this] { tick(); }),
+        Turns_(EventLoop, [this] { onTurn(); }) {}
 
   void handle(net::HttpRequest Request,
               const std::shared_ptr<net::HttpExchange> &Exchange) {
@@ -255,23 +257,26 @@
                   {"stopping", Context_.Stopping_}});
   }
 
-  /// Notes a pause of the process that has just ended, if there was one.
-  void notePause(base::TimePoint Now) {
-    if (Now - PreviousTickAt_ <= MaxTurn)
+  /// Notes a pause of the process that has just ended, if there was one. The
+  /// ticks keep the loop from waiting for long.
+  void onTurn() {
+    base::TimePoint Now = Context_.Loop_.now();
+    base::Duration Length = Now - std::exchange(TurnedAt_, Now);
+    if (Length <= MaxTurn)
       return;
-    Context_.Pause_ = {Now, Now - PreviousTickAt_};
-    Context_.Metrics_.observe("pause_seconds", Now - PreviousTickAt_);
-    observe::log(LogLevel::Warning, "process_paused",
-                 {{"for_ms", std::chrono::duration_cast<milliseconds>(
-                                 Now - PreviousTickAt_)
-                                 .count()},
-                  {"in_progress", Context_.OpenRequests_.size()}});
+    Context_.Pause_ = {Now, Length};
+    for (auto &[Id, Pool] : Context_.Pools_)
+      Pool.Selector_.setPause(Context_.Pause_);
+    Context_.Metrics_.observe("pause_seconds", Length);
+    observe::log(
+        LogLevel::Warning, "process_paused",
+        {{"for_ms", std::chrono::duration_cast<milliseconds>(Length).count()},
+         {"in_progress", Context_.OpenRequests_.size()}});
   }
 
   void tick() {
     base::TimePoint Now = Context_.Loop_.now();
     PreviousTickAt_ = std::exchange(TickedAt_, Now);
-    notePause(Now);
     Context_.Endpoints_.tick(Now);
     Context_.applyEndpointChanges();
     for (auto &[Id, Pool] : Context_.Pools_)
@@ -371,6 +376,9 @@
   std::unique_ptr<net::HttpServer> CallerServer_;
   std::unique_ptr<net::HttpServer> ReadinessServer_;
   net::Timer Tick_;
+  net::TurnWatcher Turns_;
+  /// When the loop last began a turn.
+  base::TimePoint TurnedAt_ = Context_.Loop_.now();
   std::size_t Routers_ = 1;
   std::optional<base::TimePoint> ClaimsReadAt_;
   base::TimePoint SweptAt_{};
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -933,7 +933,8 @@
     return;
   auto &Pool = Context_.poolState(Pool_);
   bool EndpointSilent = Pool.Selector_.silent(Placement_.Endpoint_, Now);
-  base::Duration SilentFor = Now - Attempt_.LastProgressAt_;
+  base::Duration SilentFor =
+      Context_.Pause_.awake(Attempt_.LastProgressAt_, Now);
   // A busy endpoint may just be slow: abandoning the attempt would waste its
   // work and load another endpoint. An endpoint that sends nothing at all may
   // be down, so it gets only half of the timeout.
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -938,6 +938,109 @@
                                 .Behavior_ = EndpointBehavior::SilentResponse}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Bytes of an endpoint before the router's process pauses, and those that
+/// arrive meanwhile.
+struct PausedRouterCase {
+  std::string_view Name_;
+  RequestKind Kind_ = RequestKind::Stream;
+  std::string Before_;
+  std::string During_;
+  std::chrono::milliseconds RouteTimeout_ = 3000ms;
+  /// Pauses as soon as the endpoint has accepted the connection.
+  bool OnConnect_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out, const PausedRouterCase &Value) {
+  return Out << Value.Name_;
+}
+
+class PausedRouterTest : public DirectRouterTest,
+                         public testing::WithParamInterface<PausedRouterCase> {
+};
+
+/// Guards against answers that are given up, though they have arrived, because
+/// a router that paused takes its own pause for silence of the endpoint.
+TEST_P(PausedRouterTest, AnswerThatArrivedDuringThePauseIsDelivered) {
+  const PausedRouterCase &Case = GetParam();
+  configure(Case.Kind_, true, Case.RouteTimeout_);
+  net::test::ScriptedPeer &Sound = addScriptedEndpoint({{Case.Before_}});
+  Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+  list("other", Endpoints_.back()->address(), "far");
+  Script_->push_back(EndpointBehavior::CompleteStream);
+  auto Pause = [] { std::this_thread::sleep_for(1700ms); };
+  net::Timer Later(*Loop_, [&] {
+    Sound.sendToAll(Case.During_);
+    Pause();
+  });
+  if (Case.OnConnect_)
+    Sound.onAccept(Pause);
+  else
+    Later.start(150ms);
+  CallerResponse Response = fetch(makeCall());
+  EXPECT_EQ(Response.Status_, 200u);
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(receivedRequests(), 0u) << "requests at the other endpoint";
+}
+
+const std::string WholeAnswer =
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Signature: s\r\n"
+    "Content-Length: 5\r\n\r\nwhole";
+const std::string WholeStream =
+    endedByLength(OneEvent + FakeEndpoint::event(2)).Bytes_;
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, PausedRouterTest,
+    testing::Values(
+        PausedRouterCase{
+            "inside_a_stream", Stream,
+            WholeStream.substr(0, WholeStream.size() - OneEvent.size()),
+            FakeEndpoint::event(2)},
+        PausedRouterCase{"before_the_first_event", Stream, "", WholeStream},
+        PausedRouterCase{"before_the_head", Idempotent, "", WholeAnswer},
+        PausedRouterCase{"past_the_timeout", NonIdempotent, "", WholeAnswer,
+                         1000ms},
+        PausedRouterCase{
+            "past_the_timeout_of_a_stream", Stream,
+            WholeStream.substr(0, WholeStream.size() - OneEvent.size()),
+            FakeEndpoint::event(2), 1000ms},
+        PausedRouterCase{.Name_ = "before_the_request_was_sent",
+                         .Kind_ = Idempotent,
+                         .Before_ = WholeAnswer,
+                         .OnConnect_ = true}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
+/// Guards against the same of answers that the loop does not read in its first
+/// turn after the pause, because there are too many.
+TEST_F(DirectRouterTest, ManyAnswersThatArrivedDuringAPauseAreDelivered) {
+  constexpr std::size_t Calls = 200;
+  configure(RequestKind::NonIdempotent, false, 1000ms);
+  constexpr int Endpoints = 6;
+  for (int Count = 0; Count < Endpoints; ++Count)
+    addScriptedEndpoint({});
+  constexpr unsigned Ok = 200;
+  std::size_t Answered = 0;
+  std::size_t Ended = 0;
+  Caller_.setConnectionsPerEndpoint(Listen_, Calls);
+  for (std::size_t Call = 0; Call < Calls; ++Call)
+    Caller_.start(makeCall(), {[&](const net::OriginHead &Head) {
+                                 Answered += Head.Status_ == Ok ? 1 : 0;
+                                 return net::HeadVerdict::Accept;
+                               },
+                               [](auto) {},
+                               [&](const auto &) {
+                                 if (++Ended == Calls)
+                                   Loop_->stop();
+                               }});
+  net::Timer Pause(*Loop_, [&] {
+    for (const auto &Each : ScriptedEndpoints_)
+      Each->sendToAll(WholeAnswer);
+    std::this_thread::sleep_for(1200ms);
+  });
+  Pause.start(600ms);
+  wait(5s);
+  EXPECT_EQ(Answered, Calls);
+}
+
 /// Bytes of callers that no process may fail on.
 struct HostileRequestCase {
   std::string Name_;
--- a/libs/net/include/camphorwind/net/loop.h
+++ b/libs/net/include/camphorwind/net/loop.h
@@ -45,7 +45,8 @@
   std::deque<std::function<void()>> Posted_;
 };
 
-/// Calls back after a delay, once or repeatedly.
+/// Calls back after a delay, once or repeatedly. Files that are ready come
+/// first.
 class Timer {
 public:
   Timer(Loop &Owner, std::function<void()> Callback);
@@ -93,6 +94,23 @@
   Interest Wanted_ = Interest::None;
 };
 
+/// Calls back at the start of each turn of the loop, before anything else that
+/// is due.
+class TurnWatcher {
+public:
+  TurnWatcher(Loop &Owner, std::function<void()> Callback);
+  ~TurnWatcher();
+  TurnWatcher(const TurnWatcher &) = delete;
+  TurnWatcher &operator=(const TurnWatcher &) = delete;
+
+private:
+  static void onTurn(struct ev_loop *, ev_check *Watcher, int);
+
+  Loop &Owner_;
+  std::function<void()> Callback_;
+  ev_check Watcher_{};
+};
+
 /// Calls back when the process receives a signal.
 class SignalWatcher {
 public:
--- a/libs/net/src/loop.cpp
+++ b/libs/net/src/loop.cpp
@@ -73,6 +73,9 @@
 Timer::Timer(Loop &Owner, std::function<void()> Callback)
     : Owner_(Owner), Callback_(std::move(Callback)) {
   ev_timer_init(&Watcher_, onTimer, 0., 0.);
+  // After a pause of the process, what has arrived is read before a timer tells
+  // that it has not.
+  ev_set_priority(&Watcher_, EV_MINPRI);
   Watcher_.data = this;
 }
 
@@ -125,6 +128,25 @@
   Self->OnReady_((Events & EV_READ) != 0, (Events & EV_WRITE) != 0);
 }
 
+TurnWatcher::TurnWatcher(Loop &Owner, std::function<void()> Callback)
+    : Owner_(Owner), Callback_(std::move(Callback)) {
+  ev_check_init(&Watcher_, onTurn);
+  Watcher_.data = this;
+  ev_set_priority(&Watcher_, EV_MAXPRI);
+  ev_check_start(Owner.raw(), &Watcher_);
+  // Watching turns alone does not keep the loop running.
+  ev_unref(Owner.raw());
+}
+
+TurnWatcher::~TurnWatcher() {
+  ev_ref(Owner_.raw());
+  ev_check_stop(Owner_.raw(), &Watcher_);
+}
+
+void TurnWatcher::onTurn(struct ev_loop *, ev_check *Watcher, int) {
+  static_cast<TurnWatcher *>(Watcher->data)->Callback_();
+}
+
 SignalWatcher::SignalWatcher(Loop &Owner, int Signal,
                              std::function<void()> Callback)
     : Owner_(Owner), Callback_(std::move(Callback)) {
--- a/libs/net/test/origin-client-test.cpp
+++ b/libs/net/test/origin-client-test.cpp
@@ -13,6 +13,7 @@
 #include <ostream>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -256,6 +257,25 @@
   EXPECT_FALSE(Found.Error_->MayHaveReached_);
 }
 
+/// Guards against connections that stand being given up because the process
+/// paused while they were made.
+TEST_F(OriginClientTest, ConnectionThatStandsAfterAPauseIsUsed) {
+  listen({{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}});
+  OriginRequest Request = request();
+  Request.ConnectTimeout_ = 50ms;
+  bool Whole = false;
+  Client_->start(std::move(Request),
+                 {[](const OriginHead &) { return HeadVerdict::Accept; },
+                  [](std::string_view) {},
+                  [&](const Result<void, OriginError> &Ended) {
+                    Whole = static_cast<bool>(Ended);
+                    Owner_->stop();
+                  }});
+  std::this_thread::sleep_for(100ms);
+  Owner_->run();
+  EXPECT_TRUE(Whole);
+}
+
 TEST_F(OriginClientTest, LimitOfConnectionsIsToldBeforeAnythingIsSent) {
   listen({}, {.ConnectionsPerEndpoint_ = 1});
   Client_->start(request(), {[](const auto &) { return HeadVerdict::Accept; },
--- a/libs/net/test/scripted-peer.h
+++ b/libs/net/test/scripted-peer.h
@@ -61,6 +61,16 @@
     }
   }
 
+  /// Sends bytes on all connections now.
+  void sendToAll(const std::string &Bytes) {
+    for (auto &Each : Connections_)
+      ::send(Each->Socket_.fd(), Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  }
+  /// Calls \p Callback after each connection that was accepted.
+  void onAccept(std::function<void()> Callback) {
+    OnAccept_ = std::move(Callback);
+  }
+
   /// Resets the connections now.
   void resetAll() {
     for (auto &Each : Connections_)
@@ -84,6 +94,8 @@
         Owner_, [this, Raw = Made.get()](bool, bool) { read(*Raw); });
     Made->Watcher_->start(Made->Socket_.fd(), Interest::Read);
     Connections_.push_back(std::move(Made));
+    if (OnAccept_)
+      OnAccept_();
   }
 
   static bool whole(const std::string &Input) {
@@ -168,6 +180,7 @@
   Loop &Owner_;
   std::vector<Reply> Script_;
   std::function<Reply(const std::string &)> Answer_;
+  std::function<void()> OnAccept_;
   std::size_t Next_ = 0;
   std::size_t Requests_ = 0;
   std::size_t FloodedBytes_ = 0;
--- a/libs/routing/include/camphorwind/routing/direct-pool.h
+++ b/libs/routing/include/camphorwind/routing/direct-pool.h
@@ -5,6 +5,7 @@
 #include "camphorwind/base/result.h"
 #include "camphorwind/base/time.h"
 #include "camphorwind/routing/ejector.h"
+#include "camphorwind/routing/pause.h"
 #include "camphorwind/routing/prompt-cache.h"
 #include "camphorwind/routing/request-limits.h"
 #include "camphorwind/routing/types.h"
@@ -131,6 +132,10 @@
   /// add to its clock for the clock that all of them share.
   void setPlace(FleetPlace Place, FleetTime ClockOffset, base::TimePoint Now);
 
+  /// Excuses endpoints for the time in which this router did not read their
+  /// answers.
+  void setPause(Pause Last);
+
   /// Sends the endpoint nothing before \p Until, because it asked for that.
   /// Applies also if the endpoint is removed and added again meanwhile.
   void holdOff(const base::EndpointId &Endpoint, base::TimePoint Until);
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -301,7 +301,7 @@
           LastActivity, Oldest->second.SentAt_ +
                             OverdueFactor * Oldest->second.ExpectedFirstByte_);
     }
-    return Now - LastActivity > Options_.SilenceTimeout_;
+    return Pause_.awake(LastActivity, Now) > Options_.SilenceTimeout_;
   }
 
   /// Returns the attempt's endpoint, or null if it has been removed since.
@@ -327,6 +327,7 @@
   }
 
   DirectPoolOptions Options_;
+  Pause Pause_;
   Ejector Ejector_;
   std::unordered_map<base::EndpointId, std::unique_ptr<Endpoint>> Endpoints_;
   /// End of the hold-off of each endpoint that has asked for one.
@@ -379,6 +380,8 @@
   Impl_->Endpoints_.erase(Found);
 }
 
+void DirectPool::setPause(Pause Last) { Impl_->Pause_ = Last; }
+
 void DirectPool::holdOff(const base::EndpointId &Endpoint,
                          base::TimePoint Until) {
   base::TimePoint &Current = Impl_->HeldOffUntil_[Endpoint];
@@ -502,7 +505,7 @@
   Impl_->changeBacklog(*Target, -Record.UncachedTokens_, Now);
   double Previous = Impl_->slowness(*Target, Now);
   double Observed =
-      Milliseconds(Now - Record.SentAt_) /
+      Milliseconds(Impl_->Pause_.awake(Record.SentAt_, Now)) /
       std::max(Milliseconds(1), Milliseconds(Record.ExpectedFirstByte_));
   double Sample = std::clamp(Previous * Observed, MinSlowness, MaxSlowness);
   Target->Slowness_ = Previous + SampleWeight * (Sample - Previous);
@@ -530,7 +533,7 @@
         Impl_->failureRate(*Target, Now) * (1 - SampleWeight);
     Target->FailureRateUpdatedAt_ = Now;
     if (Target->Traits_.CacheTokens_ == 0) {
-      base::Duration Duration = Now - Found->second.SentAt_;
+      base::Duration Duration = Impl_->Pause_.awake(Found->second.SentAt_, Now);
       Impl_->MeanCallDuration_ += std::chrono::duration_cast<base::Duration>(
           SampleWeight * Milliseconds(Duration - Impl_->MeanCallDuration_));
     }
--- a/libs/routing/test/direct-pool-test.cpp
+++ b/libs/routing/test/direct-pool-test.cpp
@@ -187,6 +187,25 @@
     EXPECT_NE(run(requestFor(7)).Endpoint_, Unanswered.Placement_.Endpoint_);
 }
 
+/// Guards against sound engines that are ejected, or taken for slow, because
+/// this router paused.
+TEST_F(DirectPoolTest, PauseOfTheRouterIsNoSilenceOfAnEngine) {
+  addEngines(4);
+  const base::Duration Expected =
+      start(requestFor(7)).Placement_.ExpectedFirstByte_;
+  SentRequest Unanswered = start(requestFor(7));
+  const base::EndpointId Engine = Unanswered.Placement_.Endpoint_;
+  Now_ += 5s;
+  Pool_.setPause({Now_, 5s});
+  EXPECT_FALSE(Pool_.silent(Engine, Now_));
+  EXPECT_TRUE(Pool_.sweep(Now_).empty());
+  Pool_.answered(Unanswered.Attempt_, Now_);
+  Pool_.finished(Unanswered.Attempt_, Now_);
+  EXPECT_LE(start(requestFor(8)).Placement_.ExpectedFirstByte_, 2 * Expected);
+  Now_ += 10 * Expected + 1s;
+  EXPECT_FALSE(Pool_.sweep(Now_).empty());
+}
+
 TEST_F(DirectPoolTest, OnlyEngineStaysInUseWhenSilentAndFailing) {
   addEngines(1);
   SentRequest Unanswered = start(requestFor(7));
