Keep a silent attempt until another endpoint answers

What callers saw: streams that were cut, and requests that got 502, because their endpoint fell silent for a second or two and the router gave it up for another one that then refused, failed or was slower (LOST).

Cause: the attempt was cancelled first, on the router's own estimate that another endpoint could take the request.

Evidence: five new cases of SilenceTest - the other endpoint is full, drops the connection, fails, is slower; all failed before, with a cut stream or 502.

The next attempt now runs beside the silent one, as its successor. Whichever answers first goes on and the other is cancelled in that moment, so that no request runs at two endpoints for longer than the cancellation takes. If the successor refuses or breaks, the first attempt simply goes on; if the first one breaks, the successor takes its place.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -89,6 +89,14 @@
   return RefusalReason::Internal;
 }
 
+/// Returns what an error says of an endpoint that received nothing.
+routing::FailureKind unsentFailureOf(const net::OriginError &Error) {
+  bool EndpointAtFault =
+      Error.Kind_ != net::OriginErrorKind::TooManyConnections;
+  return EndpointAtFault ? routing::FailureKind::LinkLost
+                         : routing::FailureKind::Refused;
+}
+
 /// Whether the response is a stream of events, as far as its headers tell.
 bool mayBeEventStream(const net::HttpHeaders &Headers) {
   constexpr std::string_view EventStreamType = "text/event-stream";
@@ -431,7 +439,26 @@
            Placement.error().RetryAfter_);
     return;
   }
-  sendAttempt(Placement.value(), PlacementRequest);
+  auto Sent = sendAttempt(Placement.value(), PlacementRequest);
+  if (Sent)
+    useAttempt(std::move(*Sent));
+  else
+    refuse(RefusalReason::NoEndpoint, 1s);
+}
+
+void ForwardedRequest::useAttempt(Attempt Sent) {
+  Attempt_ = std::move(Sent);
+  Attempt_.EventsBefore_ = EventStream_.eventCount();
+  AttemptActive_ = true;
+  if (isNewResumable())
+    Context_.Streams_.sent({RequestMetadata_.AttemptId_, Pool_,
+                            Attempt_.Target_.SoftwareVersion_,
+                            Attempt_.SentAt_});
+}
+
+std::optional<std::uint64_t> ForwardedRequest::lastDeliveredId() const {
+  return HeldEvents_.empty() ? EventStream_.lastId()
+                             : RequestMetadata_.LastEventId_;
 }
 
 net::HttpHeaders
@@ -448,7 +475,7 @@
                           : Route_->Priority_;
   if (Route_->HasPrompt_)
     Values.Urgency_ = std::clamp(Priority, 0, LeastUrgentPriority);
-  Values.LastEventId_ = EventStream_.lastId();
+  Values.LastEventId_ = lastDeliveredId();
   if (Placement.FetchFrom_)
     if (const ListedEndpoint *FetchSource =
             Context_.Endpoints_.find(*Placement.FetchFrom_))
@@ -457,29 +484,22 @@
                             Context_.Settings_.Headers_);
 }
 
-void ForwardedRequest::sendAttempt(
+std::optional<ForwardedRequest::Attempt> ForwardedRequest::sendAttempt(
     const routing::Placement &Placement,
     const routing::PlacementRequest &PlacementRequest) {
   const ListedEndpoint *Target = Context_.Endpoints_.find(Placement.Endpoint_);
-  if (!Target) {
-    refuse(RefusalReason::NoEndpoint, 1s);
-    return;
-  }
+  if (!Target)
+    return std::nullopt;
   base::TimePoint Now = Context_.Loop_.now();
-  Placement_ = Placement;
   Tried_.push_back(Placement.Endpoint_);
-  ++Sends_;
-  Attempt_ = Attempt();
-  Attempt_.Target_ = *Target;
-  Attempt_.SentAt_ = Now;
-  Attempt_.EventsBefore_ = EventStream_.eventCount();
-  Attempt_.LastProgressAt_ = Now;
-  Attempt_.PoolAttempt_ = Context_.poolState(Pool_).Selector_.sent(
+  Attempt Sent;
+  Sent.Number_ = ++Sends_;
+  Sent.Placement_ = Placement;
+  Sent.Target_ = *Target;
+  Sent.SentAt_ = Now;
+  Sent.LastProgressAt_ = Now;
+  Sent.PoolAttempt_ = Context_.poolState(Pool_).Selector_.sent(
       Placement, PlacementRequest, Now);
-  AttemptActive_ = true;
-  if (isNewResumable())
-    Context_.Streams_.sent(
-        {RequestMetadata_.AttemptId_, Pool_, Target->SoftwareVersion_, Now});
 
   net::OriginRequest Outgoing;
   Outgoing.Endpoint_ = Target->Address_;
@@ -493,20 +513,23 @@
 
   net::OriginEvents Events;
   auto Weak = weak_from_this();
-  Events.OnHead_ = [Weak](const net::OriginHead &Head) {
+  Events.OnHead_ = [Weak, Number = Sent.Number_](const net::OriginHead &Head) {
     auto Self = Weak.lock();
-    return Self ? Self->onHead(Head) : net::HeadVerdict::Skip;
+    return Self ? Self->onHead(Number, Head) : net::HeadVerdict::Skip;
   };
   Events.OnBody_ = [Weak](std::string_view Data) {
     if (auto Self = Weak.lock())
       Self->onBody(Data);
   };
-  Events.OnEnd_ = [Weak](const base::Result<void, net::OriginError> &Result) {
-    if (auto Self = Weak.lock())
+  Events.OnEnd_ = [Weak, Number = Sent.Number_](
+                      const base::Result<void, net::OriginError> &Result) {
+    auto Self = Weak.lock();
+    if (Self && Self->Successor_ && Self->Successor_->Number_ == Number)
+      Self->onSuccessorEnd(Result);
+    else if (Self)
       Self->onEnd(Result);
   };
-  Attempt_.Call_ =
-      Context_.Origins_.start(std::move(Outgoing), std::move(Events));
+  Sent.Call_ = Context_.Origins_.start(std::move(Outgoing), std::move(Events));
   observe::log(
       LogLevel::Info, "attempt_sent",
       {{"request", RequestMetadata_.AttemptId_},
@@ -514,17 +537,88 @@
        {"endpoint", Placement.Endpoint_.str()},
        {"software", Target->SoftwareVersion_},
        {"resumes", RequestMetadata_.ResumedAttempt_},
-       {"after_event", EventStream_.lastId().value_or(0)},
+       {"after_event", lastDeliveredId().value_or(0)},
        {"send", Sends_},
+       {"beside", AttemptActive_},
        {"version", View_->Version_},
        {"expected_ms", toMilliseconds(Placement.ExpectedFirstByte_)},
        {"cached_tokens", Placement.CachedTokens_},
        {"prompt_tokens", RequestMetadata_.PromptTokens_.count()},
        {"fetch_from", Placement.FetchFrom_ ? Placement.FetchFrom_->str() : ""},
        {"left_ms", toMilliseconds(Deadline_ - Now)}});
+  return Sent;
+}
+
+net::HeadVerdict ForwardedRequest::onHead(unsigned Number,
+                                          const net::OriginHead &Head) {
+  if (!Successor_)
+    return readHead(Attempt_, Head);
+  if (Successor_->Number_ != Number) {
+    net::HeadVerdict Verdict = readHead(Attempt_, Head);
+    if (Verdict == net::HeadVerdict::Accept)
+      dropSuccessor(routing::FailureKind::Cancelled);
+    return Verdict;
+  }
+  net::HeadVerdict Verdict = readHead(*Successor_, Head);
+  if (Verdict != net::HeadVerdict::Accept)
+    return Verdict;
+  if (!successorAnswers()) {
+    dropSuccessor(Successor_->NotExecuted_ ? routing::FailureKind::Refused
+                                           : routing::FailureKind::Failed,
+                  !Successor_->NotExecuted_);
+    return net::HeadVerdict::Accept;
+  }
+  Context_.Origins_.cancel(Attempt_.Call_);
+  recordFailure(routing::FailureKind::Stalled);
+  ++PossibleArrivals_;
+  ++PossibleRuns_;
+  promoteSuccessor();
+  return net::HeadVerdict::Accept;
+}
+
+bool ForwardedRequest::successorAnswers() const {
+  constexpr unsigned FirstErrorStatus = 300;
+  return !Successor_->NotExecuted_ && !Successor_->Unattributable_ &&
+         Successor_->Signed_ && Successor_->Status_ < FirstErrorStatus &&
+         (Successor_->Streaming_ || !StreamStarted_);
+}
+
+void ForwardedRequest::promoteSuccessor() {
+  Context_.Metrics_.count("direct_retries", "reason", "stalled");
+  useAttempt(std::move(*std::exchange(Successor_, std::nullopt)));
+}
+
+void ForwardedRequest::dropSuccessor(routing::FailureKind Kind,
+                                     bool MayHaveRun) {
+  if (!Successor_)
+    return;
+  Context_.Origins_.cancel(Successor_->Call_);
+  reportFailure(*Successor_, Kind);
+  ++PossibleArrivals_;
+  PossibleRuns_ += MayHaveRun ? 1 : 0;
+  Successor_.reset();
+}
+
+void ForwardedRequest::onSuccessorEnd(
+    const base::Result<void, net::OriginError> &Result) {
+  // Its head would have made it the current attempt, or ended it.
+  if (Result)
+    return;
+  const net::OriginError &Error = Result.error();
+  logBroken(*Successor_, Error);
+  Attempt Ended = std::move(*std::exchange(Successor_, std::nullopt));
+  if (!Error.MayHaveReached_) {
+    reportFailure(Ended, unsentFailureOf(Error));
+    return;
+  }
+  onConnectionLost(Ended);
+  reportFailure(Ended, routing::FailureKind::LinkLost);
+  ++PossibleArrivals_;
+  ++PossibleRuns_;
 }
 
-net::HeadVerdict ForwardedRequest::onHead(const net::OriginHead &Head) {
+net::HeadVerdict ForwardedRequest::readHead(Attempt &Of,
+                                            const net::OriginHead &Head) {
   ResponseMetadata Response = parseResponseHeaders(Head.Status_, Head.Headers_,
                                                    Context_.Settings_.Headers_);
   constexpr unsigned FirstErrorStatus = 300;
@@ -536,62 +630,62 @@
   if (ForOtherRequest) {
     observe::log(LogLevel::Warning, "foreign_answer_dropped",
                  {{"request", RequestMetadata_.AttemptId_},
-                  {"endpoint", Placement_.Endpoint_.str()},
+                  {"endpoint", Of.Placement_.Endpoint_.str()},
                   {"answer_to", Response.AttemptId_}});
     return net::HeadVerdict::Skip;
   }
   base::TimePoint Now = Context_.Loop_.now();
   auto &Selector = Context_.poolState(Pool_).Selector_;
   if (Response.Load_)
-    Selector.loadReported(Attempt_.PoolAttempt_, Response.Load_->Running_,
+    Selector.loadReported(Of.PoolAttempt_, Response.Load_->Running_,
                           Response.Load_->Waiting_, Now);
   constexpr unsigned MisdirectedRequest = 421;
   // Another instance than the chosen one answers with 421.
   if (Head.Status_ != MisdirectedRequest)
-    applyEndpointState(Response, Now);
-  Attempt_.HeadReceived_ = true;
-  Attempt_.LastProgressAt_ = Now;
-  Attempt_.Status_ = Head.Status_;
-  Attempt_.EndsByClose_ = Head.EndsByClose_;
-  Attempt_.Signed_ = Response.Signed_;
-  Attempt_.Unattributable_ =
-      Response.AttemptId_.empty() && Head.ConnectionReused_;
-  Attempt_.NotExecuted_ =
-      !Attempt_.Unattributable_ &&
-      (Response.NotExecuted_ || Head.Status_ == MisdirectedRequest);
-  Attempt_.Headers_ = makeResponseHeaders(Head.Headers_);
-  Attempt_.Streaming_ = Success && Response.Signed_ &&
-                        Route_->Kind_ == RequestKind::Stream &&
-                        mayBeEventStream(Head.Headers_);
+    applyEndpointState(Of, Response, Now);
+  Of.HeadReceived_ = true;
+  Of.LastProgressAt_ = Now;
+  Of.Status_ = Head.Status_;
+  Of.EndsByClose_ = Head.EndsByClose_;
+  Of.Signed_ = Response.Signed_;
+  Of.Unattributable_ = Response.AttemptId_.empty() && Head.ConnectionReused_;
+  Of.NotExecuted_ = !Of.Unattributable_ && (Response.NotExecuted_ ||
+                                            Head.Status_ == MisdirectedRequest);
+  Of.Headers_ = makeResponseHeaders(Head.Headers_);
+  Of.Streaming_ = Success && Response.Signed_ &&
+                  Route_->Kind_ == RequestKind::Stream &&
+                  mayBeEventStream(Head.Headers_);
   return net::HeadVerdict::Accept;
 }
 
-void ForwardedRequest::applyEndpointState(const ResponseMetadata &Response,
+void ForwardedRequest::applyEndpointState(const Attempt &Of,
+                                          const ResponseMetadata &Response,
                                           base::TimePoint Now) {
-  const std::string &Endpoint = Placement_.Endpoint_.str();
+  const std::string &Endpoint = Of.Placement_.Endpoint_.str();
   for (const std::string &Each : Response.Malformed_)
     observe::log(LogLevel::Warning, "answer_header_malformed",
                  {{"request", RequestMetadata_.AttemptId_},
                   {"endpoint", Endpoint},
                   {"header", Each}});
   if (Response.HoldOff_) {
-    Context_.poolState(Pool_).Selector_.holdOff(Placement_.Endpoint_,
+    Context_.poolState(Pool_).Selector_.holdOff(Of.Placement_.Endpoint_,
                                                 Now + *Response.HoldOff_);
     observe::log(
         LogLevel::Info, "endpoint_held_off",
         {{"endpoint", Endpoint}, {"for_ms", Response.HoldOff_->count()}});
   }
-  applyRequestLimit(Response, Now);
+  applyRequestLimit(Of, Response, Now);
   if (Response.Leaving_)
-    Context_.endpointLeaving(Placement_.Endpoint_);
+    Context_.endpointLeaving(Of.Placement_.Endpoint_);
 }
 
-void ForwardedRequest::applyRequestLimit(const ResponseMetadata &Response,
+void ForwardedRequest::applyRequestLimit(const Attempt &Of,
+                                         const ResponseMetadata &Response,
                                          base::TimePoint Now) {
   auto &Limits = Context_.poolState(Pool_).Selector_.requestLimits();
-  const std::string &Endpoint = Placement_.Endpoint_.str();
+  const std::string &Endpoint = Of.Placement_.Endpoint_.str();
   if (Response.RequestLimit_) {
-    if (Limits.state(Placement_.Endpoint_, *Response.RequestLimit_, Now))
+    if (Limits.state(Of.Placement_.Endpoint_, *Response.RequestLimit_, Now))
       observe::log(LogLevel::Info, "endpoint_limited",
                    {{"endpoint", Endpoint},
                     {"per_second", *Response.RequestLimit_},
@@ -601,7 +695,7 @@
   // An answer without the id may be a late copy of one from before the limit.
   if (Response.RequestLimitUnreadable_ || Response.AttemptId_.empty())
     return;
-  if (Limits.end(Placement_.Endpoint_, Attempt_.SentAt_))
+  if (Limits.end(Of.Placement_.Endpoint_, Of.SentAt_))
     observe::log(
         LogLevel::Info, "endpoint_limit_ended",
         {{"endpoint", Endpoint}, {"request", RequestMetadata_.AttemptId_}});
@@ -611,6 +705,7 @@
   base::TimePoint Now = Context_.Loop_.now();
   if (!Attempt_.Streaming_) {
     Attempt_.LastProgressAt_ = Now;
+    dropSuccessor(routing::FailureKind::Cancelled);
     Attempt_.Body_.append(Data);
     if (Attempt_.Body_.size() > MaxResponseBytes)
       onOversized();
@@ -625,6 +720,7 @@
       Attempt_.LongestGap_ =
           std::max(Attempt_.LongestGap_, Now - Attempt_.LastProgressAt_);
     Attempt_.LastProgressAt_ = Now;
+    dropSuccessor(routing::FailureKind::Cancelled);
     auto &Selector = Context_.poolState(Pool_).Selector_;
     Selector.answered(Attempt_.PoolAttempt_, Now);
     Selector.progressed(Attempt_.PoolAttempt_, Now);
@@ -658,7 +754,7 @@
   AttemptActive_ = false;
   observe::log(LogLevel::Warning, "response_oversized",
                {{"request", RequestMetadata_.AttemptId_},
-                {"endpoint", Placement_.Endpoint_.str()},
+                {"endpoint", Attempt_.Placement_.Endpoint_.str()},
                 {"streaming", Attempt_.Streaming_},
                 {"bytes", Attempt_.Body_.size()},
                 {"unfinished_bytes", EventStream_.unfinishedBytes()},
@@ -682,6 +778,8 @@
 void ForwardedRequest::passOnHeldEvents() {
   if (HeldEvents_.empty() || mustHold())
     return;
+  // A successor would begin anew.
+  dropSuccessor(routing::FailureKind::Cancelled);
   bool WasPaused = HeldEvents_.size() > MaxBufferedBytes;
   passOn(std::exchange(HeldEvents_, {}));
   if (WasPaused && Exchange_->buffered() <= MaxBufferedBytes)
@@ -727,25 +825,13 @@
     return;
   }
   const net::OriginError &Error = Result.error();
-  observe::log(
-      LogLevel::Warning, "attempt_broken",
-      {{"request", RequestMetadata_.AttemptId_},
-       {"endpoint", Placement_.Endpoint_.str()},
-       {"kind", toString(Error.Kind_)},
-       {"may_have_reached", Error.MayHaveReached_},
-       {"detail", Error.Detail_},
-       {"parts", partIds(RequestMetadata_.PromptParts_)},
-       {"fingerprint", fmt::format("{:x}", Fingerprint_)},
-       {"after_ms", toMilliseconds(Context_.Loop_.now() - Attempt_.SentAt_)}});
+  logBroken(Attempt_, Error);
   if (!Error.MayHaveReached_) {
-    bool EndpointAtFault =
-        Error.Kind_ != net::OriginErrorKind::TooManyConnections;
-    recordFailure(EndpointAtFault ? routing::FailureKind::LinkLost
-                                  : routing::FailureKind::Refused);
+    recordFailure(unsentFailureOf(Error));
     onNotExecuted(toString(Error.Kind_), false);
     return;
   }
-  onConnectionLost();
+  onConnectionLost(Attempt_);
   // The head alone proves that the request did not run, even if the response
   // is incomplete.
   if (Attempt_.HeadReceived_ && Attempt_.NotExecuted_) {
@@ -756,11 +842,25 @@
   onAttemptFailed(toString(Error.Kind_), routing::FailureKind::LinkLost);
 }
 
-void ForwardedRequest::onConnectionLost() {
-  if (Attempt_.NotExecuted_)
+void ForwardedRequest::logBroken(const Attempt &Of,
+                                 const net::OriginError &Error) const {
+  observe::log(
+      LogLevel::Warning, "attempt_broken",
+      {{"request", RequestMetadata_.AttemptId_},
+       {"endpoint", Of.Placement_.Endpoint_.str()},
+       {"kind", toString(Error.Kind_)},
+       {"may_have_reached", Error.MayHaveReached_},
+       {"detail", Error.Detail_},
+       {"parts", partIds(RequestMetadata_.PromptParts_)},
+       {"fingerprint", fmt::format("{:x}", Fingerprint_)},
+       {"after_ms", toMilliseconds(Context_.Loop_.now() - Of.SentAt_)}});
+}
+
+void ForwardedRequest::onConnectionLost(const Attempt &Of) {
+  if (Of.NotExecuted_)
     return;
   Context_.Crashes_.attemptBroken(
-      Attempt_.Target_,
+      Of.Target_,
       Context_.Quarantine_.blamable(Suspects_, Context_.Loop_.now()));
 }
 
@@ -774,14 +874,19 @@
     Context_.Quarantine_.answered(Suspects_, Attempt_.SentAt_, Now);
 }
 
-void ForwardedRequest::recordFailure(routing::FailureKind Kind) {
+void ForwardedRequest::reportFailure(const Attempt &Of,
+                                     routing::FailureKind Kind) {
   auto Ejected = Context_.poolState(Pool_).Selector_.failed(
-      Attempt_.PoolAttempt_, Kind, Context_.Loop_.now());
+      Of.PoolAttempt_, Kind, Context_.Loop_.now());
   if (Ejected)
     observe::log(LogLevel::Warning, "endpoint_ejected",
-                 {{"endpoint", Placement_.Endpoint_.str()},
+                 {{"endpoint", Of.Placement_.Endpoint_.str()},
                   {"reason", routing::toString(*Ejected)},
                   {"request", RequestMetadata_.AttemptId_}});
+}
+
+void ForwardedRequest::recordFailure(routing::FailureKind Kind) {
+  reportFailure(Attempt_, Kind);
   EventStream_.discardUnfinished();
   if (HeldEvents_.empty())
     return;
@@ -798,11 +903,11 @@
   if (!Remainder || ClosedBeforeEvents) {
     observe::log(LogLevel::Warning, "stream_truncated",
                  {{"request", RequestMetadata_.AttemptId_},
-                  {"endpoint", Placement_.Endpoint_.str()},
+                  {"endpoint", Attempt_.Placement_.Endpoint_.str()},
                   {"ends_by_close", Attempt_.EndsByClose_},
                   {"unfinished_bytes", Attempt_.UnfinishedBytes_},
                   {"events", EventStream_.eventCount()}});
-    onConnectionLost();
+    onConnectionLost(Attempt_);
     onAttemptFailed("truncated", routing::FailureKind::LinkLost);
     return;
   }
@@ -830,7 +935,7 @@
   if (Attempt_.Unattributable_) {
     observe::log(LogLevel::Warning, "answer_unattributable",
                  {{"request", RequestMetadata_.AttemptId_},
-                  {"endpoint", Placement_.Endpoint_.str()},
+                  {"endpoint", Attempt_.Placement_.Endpoint_.str()},
                   {"status", Attempt_.Status_}});
     onAttemptFailed("unattributable", routing::FailureKind::Failed);
     return;
@@ -860,6 +965,10 @@
 void ForwardedRequest::onNotExecuted(std::string_view Reason,
                                      bool MayHaveArrived) {
   PossibleArrivals_ += MayHaveArrived ? 1 : 0;
+  if (Successor_) {
+    promoteSuccessor();
+    return;
+  }
   bool Allowed = PossibleRuns_ == 0 ||
                  (Route_->repeatable() && PossibleRuns_ < Route_->MaxAttempts_);
   if (Allowed && allowRetry(PossibleArrivals_ > 0)) {
@@ -876,6 +985,10 @@
   recordFailure(Kind);
   ++PossibleArrivals_;
   ++PossibleRuns_;
+  if (Successor_) {
+    promoteSuccessor();
+    return;
+  }
   if (Route_->repeatable() && PossibleRuns_ < Route_->MaxAttempts_ &&
       allowRetry(true)) {
     Context_.Metrics_.count("direct_retries", "reason", std::string(Reason));
@@ -918,51 +1031,50 @@
     checkStall(Now);
 }
 
-bool ForwardedRequest::hasAlternative(base::TimePoint Now) const {
-  std::vector<base::EndpointId> Excluded = excludedEndpoints();
-  auto &Selector = Context_.poolState(Pool_).Selector_;
-  auto Next = Selector.choose(makePlacementRequest(Excluded), Now);
-  return Next && !Selector.silent(Next.value().Endpoint_, Now);
-}
-
-void ForwardedRequest::checkStall(base::TimePoint Now) {
-  // A request that may not run again gains nothing from being abandoned.
-  if (!Route_->repeatable() || PossibleRuns_ + 1 >= Route_->MaxAttempts_ ||
-      Sends_ >= MaxSends || remainingTime(Now) < MinTimeForRetry ||
-      !Context_.Quarantine_.mayRepeat(Suspects_))
-    return;
-  auto &Pool = Context_.poolState(Pool_);
-  bool EndpointSilent = Pool.Selector_.silent(Placement_.Endpoint_, Now);
-  base::Duration SilentFor =
-      Context_.Pause_.awake(Attempt_.LastProgressAt_, Now);
-  // A busy endpoint may just be slow: abandoning the attempt would waste its
-  // work and load another endpoint. An endpoint that sends nothing at all may
-  // be down, so it gets only half of the timeout.
+bool ForwardedRequest::hasStalled(const Attempt &Of,
+                                  base::TimePoint Now) const {
+  // A busy endpoint may just be slow: another attempt would waste its work and
+  // load another endpoint. An endpoint that sends nothing at all may be down,
+  // so it gets only half of the timeout.
   base::Duration StallTimeout = std::max<base::Duration>(
-      MaxSoundSilence, StreamGapMultiple * Attempt_.LongestGap_);
-  if (!Attempt_.HeadReceived_)
+      MaxSoundSilence, StreamGapMultiple * Of.LongestGap_);
+  if (!Of.HeadReceived_)
     StallTimeout = std::max<base::Duration>(
-        StallExpectedTimeMultiple * Placement_.ExpectedFirstByte_,
+        StallExpectedTimeMultiple * Of.Placement_.ExpectedFirstByte_,
         StallObjectiveMultiple * Route_->FirstByteObjective_);
-  if (EndpointSilent)
+  const auto &Selector = Context_.poolState(Pool_).Selector_;
+  if (Selector.silent(Of.Placement_.Endpoint_, Now))
     StallTimeout = std::max<base::Duration>(StallTimeout / 2, MaxSoundSilence);
-  if (SilentFor <= StallTimeout)
+  return Context_.Pause_.awake(Of.LastProgressAt_, Now) > StallTimeout;
+}
+
+void ForwardedRequest::checkStall(base::TimePoint Now) {
+  const Attempt &Last = Successor_ ? *Successor_ : Attempt_;
+  unsigned Runs = PossibleRuns_ + (Successor_ ? 2 : 1);
+  // A request that may not run again gains nothing from another attempt.
+  if (!Route_->repeatable() || Runs >= Route_->MaxAttempts_ ||
+      !hasStalled(Last, Now))
     return;
   // The next attempt may need as long as this one already took.
   if (Context_.EndsAt_ && Now + (Now - Attempt_.SentAt_) > *Context_.EndsAt_)
     return;
-  if (!Pool.Retries_.available(Now) || !hasAlternative(Now))
+  auto &Selector = Context_.poolState(Pool_).Selector_;
+  std::vector<base::EndpointId> Excluded = excludedEndpoints();
+  routing::PlacementRequest PlacementRequest = makePlacementRequest(Excluded);
+  auto Next = Selector.choose(PlacementRequest, Now);
+  if (!Next || Selector.silent(Next.value().Endpoint_, Now) ||
+      !allowRetry(true))
     return;
-  Context_.Origins_.cancel(Attempt_.Call_);
-  AttemptActive_ = false;
-  observe::log(LogLevel::Warning, "attempt_stalled",
-               {{"request", RequestMetadata_.AttemptId_},
-                {"endpoint", Placement_.Endpoint_.str()},
-                {"quiet_ms", toMilliseconds(SilentFor)},
-                {"endpoint_silent", EndpointSilent},
-                {"since_pause_ms", toMilliseconds(Now - Context_.Pause_.End_)},
-                {"streaming", Attempt_.Streaming_}});
-  onAttemptFailed("stalled", routing::FailureKind::Stalled);
+  observe::log(
+      LogLevel::Warning, "attempt_stalled",
+      {{"request", RequestMetadata_.AttemptId_},
+       {"endpoint", Last.Placement_.Endpoint_.str()},
+       {"quiet_ms", toMilliseconds(Now - Last.LastProgressAt_)},
+       {"endpoint_silent", Selector.silent(Last.Placement_.Endpoint_, Now)},
+       {"since_pause_ms", toMilliseconds(Now - Context_.Pause_.End_)},
+       {"streaming", Attempt_.Streaming_}});
+  dropSuccessor(routing::FailureKind::Stalled);
+  Successor_ = sendAttempt(Next.value(), PlacementRequest);
 }
 
 void ForwardedRequest::onProcessEnd() {
@@ -1045,6 +1157,7 @@
 void ForwardedRequest::finish(std::string_view Outcome, unsigned Status) {
   if (std::exchange(Finished_, true))
     return;
+  dropSuccessor(routing::FailureKind::Cancelled);
   base::TimePoint Now = Context_.Loop_.now();
   if (Loan_)
     Context_.Loans_->settle(*Loan_, spentTokens());
@@ -1064,7 +1177,7 @@
        {"sends", Sends_},
        {"runs", PossibleRuns_},
        {"lender", Loan_ ? Loan_->Lender_ : ""},
-       {"endpoint", Placement_.Endpoint_.str()},
+       {"endpoint", Attempt_.Placement_.Endpoint_.str()},
        {"events", EventStream_.eventCount()},
        {"ends_by_close", Attempt_.EndsByClose_},
        {"unfinished_bytes", Attempt_.UnfinishedBytes_},
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -48,9 +48,12 @@
   void onOversized();
 
 private:
-  /// State of the current attempt.
+  /// State of an attempt.
   struct Attempt {
+    /// 1 for the first attempt of the request.
+    unsigned Number_ = 0;
     net::OriginCallId Call_ = 0;
+    routing::Placement Placement_;
     /// The endpoint as it was listed when the attempt was sent.
     ListedEndpoint Target_;
     /// Id of the attempt in the pool's endpoint selection.
@@ -113,8 +116,12 @@
                              base::Tokens MaxTokens, base::TimePoint Now) const;
   /// Chooses an endpoint and sends an attempt to it, or refuses the request.
   void placeAttempt();
-  void sendAttempt(const routing::Placement &Placement,
-                   const routing::PlacementRequest &PlacementRequest);
+  /// Sends an attempt; returns nothing if the endpoint has just left.
+  std::optional<Attempt>
+  sendAttempt(const routing::Placement &Placement,
+              const routing::PlacementRequest &PlacementRequest);
+  /// Makes an attempt the current one.
+  void useAttempt(Attempt Sent);
   /// Lists the endpoints that must not get the next attempt: those of earlier
   /// attempts, and those of other software versions than the stream's.
   std::vector<base::EndpointId> excludedEndpoints() const;
@@ -122,14 +129,21 @@
   makePlacementRequest(std::span<const base::EndpointId> Excluded) const;
   net::HttpHeaders attemptHeaders(const ListedEndpoint &Target,
                                   const routing::Placement &Placement);
+  /// Returns the id after which the next attempt has to begin.
+  std::optional<std::uint64_t> lastDeliveredId() const;
 
-  net::HeadVerdict onHead(const net::OriginHead &Head);
-  /// Applies what the chosen endpoint states about itself in a response.
-  void applyEndpointState(const ResponseMetadata &Response,
+  /// Handles the head of the response to attempt \p Number.
+  net::HeadVerdict onHead(unsigned Number, const net::OriginHead &Head);
+  /// Takes the head of a response over into the attempt, unless it belongs to
+  /// another request.
+  net::HeadVerdict readHead(Attempt &Of, const net::OriginHead &Head);
+  /// Applies what the endpoint of an attempt states about itself in a response.
+  void applyEndpointState(const Attempt &Of, const ResponseMetadata &Response,
                           base::TimePoint Now);
-  /// Takes over the request limit that the chosen endpoint states, or that it
-  /// states none any more.
-  void applyRequestLimit(const ResponseMetadata &Response, base::TimePoint Now);
+  /// Takes over the request limit that the endpoint of an attempt states, or
+  /// that it states none any more.
+  void applyRequestLimit(const Attempt &Of, const ResponseMetadata &Response,
+                         base::TimePoint Now);
   void onBody(std::string_view Data);
   void onEvents(const std::string &Events);
   /// Passes events on to the caller, the first ones with the head.
@@ -149,6 +163,16 @@
   /// responses if all hold too many.
   void chargeResponse();
   void onEnd(const base::Result<void, net::OriginError> &Result);
+  /// Handles the end of the successor before its response has begun.
+  void onSuccessorEnd(const base::Result<void, net::OriginError> &Result);
+  /// Whether the head of the successor's response begins an answer that can
+  /// replace the current attempt's.
+  bool successorAnswers() const;
+  /// Makes the successor the current attempt; the one before has ended.
+  void promoteSuccessor();
+  /// Ends the successor, if there is one. \p MayHaveRun is false if its
+  /// response proves that it did not run the request.
+  void dropSuccessor(routing::FailureKind Kind, bool MayHaveRun = true);
   void onResponseComplete();
   /// Handles the end of a response that is a stream.
   void onStreamEnd();
@@ -169,15 +193,21 @@
   /// Refuses the request if it, or a part of its prompt, is quarantined.
   bool refuseQuarantined();
   /// Handles an attempt whose connection ended before its response did.
-  void onConnectionLost();
+  void onConnectionLost(const Attempt &Of);
+  void logBroken(const Attempt &Of, const net::OriginError &Error) const;
   /// Records a whole response.
   void recordSuccess();
-  /// Reports the failed attempt to the pool's endpoint selection.
+  /// Reports the failed current attempt to the pool's endpoint selection, and
+  /// discards what its response leaves behind.
   void recordFailure(routing::FailureKind Kind);
-  /// Whether an endpoint other than those tried could take the request now.
-  bool hasAlternative(base::TimePoint Now) const;
-  /// Abandons an attempt that has sent no data for too long, if the request may
-  /// be retried and there is an endpoint for it.
+  /// Reports a failed attempt to the pool's endpoint selection.
+  void reportFailure(const Attempt &Of, routing::FailureKind Kind);
+  /// Whether the attempt has sent no data for too long.
+  bool hasStalled(const Attempt &Of, base::TimePoint Now) const;
+  /// Sends a successor beside an attempt that has stalled, if the request may
+  /// be retried and another endpoint could take it now. The attempt goes on
+  /// until the successor's response begins: a sound endpoint may fall silent
+  /// and go on, and the other one may refuse.
   void checkStall(base::TimePoint Now);
 
   void onCallerDisconnect();
@@ -230,9 +260,10 @@
   base::Tokens ReservedTokens_;
   bool HasReservation_ = false;
 
-  routing::Placement Placement_;
   Attempt Attempt_;
   bool AttemptActive_ = false;
+  /// Attempt that replaces Attempt_ once its response begins.
+  std::optional<Attempt> Successor_;
   /// Software version at which the stream has begun, so that it may go on only
   /// there; unset before its first event.
   std::optional<std::string> Software_;
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -65,6 +65,10 @@
   SilentStream,
   /// Falls silent before it answers.
   SilentResponse,
+  /// Falls silent after the first event of a stream, then aborts it.
+  SilentUntilAbort,
+  /// Falls silent before it completes a stream.
+  SilentUntilStream,
 };
 
 /// Behaviors for successive requests, whichever endpoint receives them. Once
@@ -192,6 +196,18 @@
       DripTimer_->start(Silence_);
       return;
     }
+    case EndpointBehavior::SilentUntilAbort:
+      Exchange->startStream(200, responseHeaders());
+      Exchange->write(event(1));
+      DripTimer_ = std::make_unique<net::Timer>(
+          Loop_, [Exchange] { Exchange->abortStream(); });
+      DripTimer_->start(Silence_);
+      return;
+    case EndpointBehavior::SilentUntilStream:
+      DripTimer_ = std::make_unique<net::Timer>(
+          Loop_, [this, Exchange] { sendStream(Exchange, false); });
+      DripTimer_->start(Silence_);
+      return;
     case EndpointBehavior::NoResponse:
       OpenExchanges_.push_back(Exchange);
     }
@@ -883,6 +899,7 @@
   std::string_view Other_;
   std::chrono::milliseconds Silence_{1800};
   std::size_t Requests_ = 1;
+  EndpointBehavior OtherBehavior_ = EndpointBehavior::CompleteStream;
 };
 
 std::ostream &operator<<(std::ostream &Out, const SilenceCase &Value) {
@@ -906,7 +923,7 @@
     Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
     list("other", Endpoints_.back()->address(), "far",
          std::string(Case.Other_));
-    Script_->push_back(EndpointBehavior::CompleteStream);
+    Script_->push_back(Case.OtherBehavior_);
   }
   CallerResponse Response = fetch(makeCall());
   EXPECT_EQ(Response.Status_, 200u);
@@ -919,25 +936,65 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Endpoints, SilenceTest,
-    testing::Values(SilenceCase{.Name_ = "only_endpoint"},
-                    SilenceCase{.Name_ = "only_endpoint_of_its_version",
-                                .Other_ = "v2"},
-                    SilenceCase{.Name_ = "another_of_its_version",
-                                .Other_ = "v1",
-                                .Requests_ = 2},
-                    SilenceCase{.Name_ = "short_silence_of_a_stream",
-                                .Other_ = "v1",
-                                .Silence_ = 1300ms},
-                    SilenceCase{.Name_ = "short_silence_before_the_head",
-                                .Kind_ = RequestKind::Idempotent,
-                                .Behavior_ = EndpointBehavior::SilentResponse,
-                                .Other_ = "v1",
-                                .Silence_ = 1300ms},
-                    SilenceCase{.Name_ = "no_head_from_the_only_endpoint",
-                                .Kind_ = RequestKind::Idempotent,
-                                .Behavior_ = EndpointBehavior::SilentResponse}),
+    testing::Values(
+        SilenceCase{.Name_ = "only_endpoint"},
+        SilenceCase{.Name_ = "only_endpoint_of_its_version", .Other_ = "v2"},
+        SilenceCase{
+            .Name_ = "another_of_its_version", .Other_ = "v1", .Requests_ = 2},
+        SilenceCase{.Name_ = "short_silence_of_a_stream",
+                    .Other_ = "v1",
+                    .Silence_ = 1300ms},
+        SilenceCase{.Name_ = "short_silence_before_the_head",
+                    .Kind_ = RequestKind::Idempotent,
+                    .Behavior_ = EndpointBehavior::SilentResponse,
+                    .Other_ = "v1",
+                    .Silence_ = 1300ms},
+        SilenceCase{.Name_ = "another_that_is_full",
+                    .Other_ = "v1",
+                    .Requests_ = 2,
+                    .OtherBehavior_ = EndpointBehavior::NotExecuted},
+        SilenceCase{.Name_ = "another_that_drops_the_connection",
+                    .Other_ = "v1",
+                    .Requests_ = 2,
+                    .OtherBehavior_ = EndpointBehavior::DropConnection},
+        SilenceCase{.Name_ = "another_that_fails",
+                    .Other_ = "v1",
+                    .Requests_ = 2,
+                    .OtherBehavior_ = EndpointBehavior::ServerError},
+        SilenceCase{.Name_ = "another_that_is_slower",
+                    .Other_ = "v1",
+                    .Requests_ = 2,
+                    .OtherBehavior_ = EndpointBehavior::NoResponse},
+        SilenceCase{.Name_ = "no_head_while_another_is_full",
+                    .Kind_ = RequestKind::Idempotent,
+                    .Behavior_ = EndpointBehavior::SilentResponse,
+                    .Other_ = "v1",
+                    .Requests_ = 2,
+                    .OtherBehavior_ = EndpointBehavior::NotExecuted},
+        SilenceCase{.Name_ = "no_head_from_the_only_endpoint",
+                    .Kind_ = RequestKind::Idempotent,
+                    .Behavior_ = EndpointBehavior::SilentResponse}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against streams that are cut because their endpoint breaks off while
+/// another one has not answered yet.
+TEST_F(DirectRouterTest, SuccessorOfASilentEndpointGoesOnAloneIfThatBreaks) {
+  configure(RequestKind::Stream, true, 4000ms);
+  FakeEndpoint &Silent = addEndpoint({EndpointBehavior::SilentUntilAbort,
+                                      EndpointBehavior::SilentUntilStream});
+  FakeEndpoint &Successor = addEndpoint();
+  Silent.Silence_ = Successor.Silence_ = 1600ms;
+  net::OriginRequest Call = makeCall();
+  Call.Headers_ = {{"Host", "shop.example"},
+                   {"Authorization", "Bearer secret"},
+                   {"X-Attempt-Id", "a1"},
+                   {"X-Time-Left-Ms", "4000"}};
+  CallerResponse Response = fetch(std::move(Call));
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(Response.Body_, AllEvents);
+  EXPECT_EQ(receivedRequests(), 2u);
+}
+
 /// Bytes of an endpoint before the router's process pauses, and those that
 /// arrive meanwhile.
 struct PausedRouterCase {
