Don't take a caller that reads slowly for a silent endpoint

Cause: the router stops reading from the endpoint while the caller has not taken enough, and then judged the endpoint by the bytes that it had not read. The class is that of the paused router: its own silence is taken for another's.

An attempt whose response is not read does not stall, and its silence counts from when reading goes on.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -731,6 +731,12 @@
   chargeResponse();
 }
 
+void ForwardedRequest::setReading(bool Reading) {
+  Attempt_.Reading_ = Reading;
+  Attempt_.LastProgressAt_ = Context_.Loop_.now();
+  Context_.Origins_.setReading(Attempt_.Call_, Reading);
+}
+
 std::size_t ForwardedRequest::maxBufferedBytes() const {
   const ResponseBytes &All = *Context_.ResponseBytes_;
   return All.Held_ > All.Limit_ / 2 ? MaxScarceBufferedBytes : MaxBufferedBytes;
@@ -772,7 +778,7 @@
   HeldEvents_ += Events;
   passOnHeldEvents();
   if (HeldEvents_.size() > MaxBufferedBytes)
-    Context_.Origins_.setReading(Attempt_.Call_, false);
+    setReading(false);
 }
 
 void ForwardedRequest::passOnHeldEvents() {
@@ -783,7 +789,7 @@
   bool WasPaused = HeldEvents_.size() > MaxBufferedBytes;
   passOn(std::exchange(HeldEvents_, {}));
   if (WasPaused && Exchange_->buffered() <= MaxBufferedBytes)
-    Context_.Origins_.setReading(Attempt_.Call_, true);
+    setReading(true);
 }
 
 void ForwardedRequest::passOn(const std::string &Events) {
@@ -800,14 +806,14 @@
   Exchange_->write(Events);
   if (Exchange_->buffered() <= maxBufferedBytes() || !AttemptActive_)
     return;
-  Context_.Origins_.setReading(Attempt_.Call_, false);
+  setReading(false);
   Exchange_->onDrain([Weak = weak_from_this()] {
     auto Self = Weak.lock();
     if (!Self || !Self->AttemptActive_)
       return;
     Self->chargeResponse();
     if (Self->Exchange_->buffered() <= Self->maxBufferedBytes() / 2)
-      Self->Context_.Origins_.setReading(Self->Attempt_.Call_, true);
+      Self->setReading(true);
   });
 }
 
@@ -1053,7 +1059,7 @@
   unsigned Runs = PossibleRuns_ + (Successor_ ? 2 : 1);
   // A request that may not run again gains nothing from another attempt.
   if (!Route_->repeatable() || Runs >= Route_->MaxAttempts_ ||
-      !hasStalled(Last, Now))
+      !Last.Reading_ || !hasStalled(Last, Now))
     return;
   // The next attempt may need as long as this one already took.
   if (Context_.EndsAt_ && Now + (Now - Attempt_.SentAt_) > *Context_.EndsAt_)
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -70,6 +70,8 @@
     bool Unattributable_ = false;
     /// The body is forwarded event by event instead of being collected.
     bool Streaming_ = false;
+    /// The response is read; false while the caller has not taken enough of it.
+    bool Reading_ = true;
     /// The response has neither a length nor chunks: it ends with its
     /// connection.
     bool EndsByClose_ = false;
@@ -156,6 +158,8 @@
   /// Adds the endpoints whose streams could not be written to the table now, if
   /// there are others.
   void excludeUnwritable(std::vector<base::EndpointId> &Excluded) const;
+  /// Stops reading the current attempt's response, or goes on.
+  void setReading(bool Reading);
   /// Returns the number of unsent bytes of the stream above which reading from
   /// the endpoint is paused.
   std::size_t maxBufferedBytes() const;
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -995,6 +995,31 @@
   EXPECT_EQ(receivedRequests(), 2u);
 }
 
+/// Guards against streams that are sent again, or cut, because the router takes
+/// the time in which their caller read nothing for silence of the endpoint.
+TEST_F(DirectRouterTest, StreamOfASlowCallerStaysAtItsEndpoint) {
+  configure(RequestKind::Stream, true, 5000ms);
+  FakeEndpoint &Flooding = addEndpoint({EndpointBehavior::FloodingStream});
+  FakeEndpoint &Other = addEndpoint();
+  net::OriginRequest Call = makeCall();
+  Call.Headers_ = {{"Host", "shop.example"},
+                   {"Authorization", "Bearer secret"},
+                   {"X-Attempt-Id", "a1"},
+                   {"X-Time-Left-Ms", "5000"}};
+  bool Ended = false;
+  net::OriginCallId Id =
+      Caller_.start(std::move(Call),
+                    {[](const auto &) { return net::HeadVerdict::Accept; },
+                     [](auto) {}, [&Ended](const auto &) { Ended = true; }});
+  wait(200ms);
+  Caller_.setReading(Id, false);
+  wait(2500ms);
+  EXPECT_FALSE(Ended);
+  EXPECT_EQ(Flooding.Requests_.size() + Other.Requests_.size(), 1u);
+  Caller_.cancel(Id);
+  wait(50ms);
+}
+
 /// Bytes of an endpoint before the router's process pauses, and those that
 /// arrive meanwhile.
 struct PausedRouterCase {
