Go on with a stream only by further events

Cause: what an endpoint answered was taken for the end of the request, whatever its caller already had. respond() does nothing once a stream has started, and an event stream without events counted as whole.

Errors with 5xx, unsigned and cut answers were handled.

An attempt that continues a stream now either brings a further event or has failed: the next endpoint is tried if it may be, else the stream is cut off.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -449,6 +449,7 @@
 void ForwardedRequest::useAttempt(Attempt Sent) {
   Attempt_ = std::move(Sent);
   Attempt_.EventsBefore_ = EventStream_.eventCount();
+  Attempt_.Continues_ = StreamStarted_;
   AttemptActive_ = true;
   if (isNewResumable())
     Context_.Streams_.sent({RequestMetadata_.AttemptId_, Pool_,
@@ -652,7 +653,8 @@
   Of.NotExecuted_ = !Of.Unattributable_ && (Response.NotExecuted_ ||
                                             Head.Status_ == MisdirectedRequest);
   Of.Headers_ = makeResponseHeaders(Head.Headers_);
-  Of.Streaming_ = Success && Response.Signed_ &&
+  constexpr unsigned NoContent = 204;
+  Of.Streaming_ = Success && Head.Status_ != NoContent && Response.Signed_ &&
                   Route_->Kind_ == RequestKind::Stream &&
                   mayBeEventStream(Head.Headers_);
   return net::HeadVerdict::Accept;
@@ -904,8 +906,8 @@
 void ForwardedRequest::onStreamEnd() {
   std::optional<std::string> Remainder = EventStream_.finish();
   // An endpoint that crashes may close its connection like one that is done.
-  bool ClosedBeforeEvents = Attempt_.EndsByClose_ &&
-                            EventStream_.eventCount() == Attempt_.EventsBefore_;
+  bool HasEvents = EventStream_.eventCount() > Attempt_.EventsBefore_;
+  bool ClosedBeforeEvents = Attempt_.EndsByClose_ && !HasEvents;
   if (!Remainder || ClosedBeforeEvents) {
     observe::log(LogLevel::Warning, "stream_truncated",
                  {{"request", RequestMetadata_.AttemptId_},
@@ -917,6 +919,10 @@
     onAttemptFailed("truncated", routing::FailureKind::LinkLost);
     return;
   }
+  if (Attempt_.Continues_ && !HasEvents) {
+    onNotContinued();
+    return;
+  }
   recordSuccess();
   if (!HeldEvents_.empty())
     passOn(std::exchange(HeldEvents_, {}));
@@ -930,6 +936,16 @@
   finish("answered", Attempt_.Status_);
 }
 
+void ForwardedRequest::onNotContinued() {
+  observe::log(LogLevel::Warning, "stream_not_continued",
+               {{"request", RequestMetadata_.AttemptId_},
+                {"endpoint", Attempt_.Placement_.Endpoint_.str()},
+                {"status", Attempt_.Status_},
+                {"after_event", EventStream_.lastId().value_or(0)},
+                {"events", EventStream_.eventCount()}});
+  onAttemptFailed("not_continued", routing::FailureKind::Failed);
+}
+
 void ForwardedRequest::onResponseComplete() {
   constexpr unsigned FirstErrorStatus = 300;
   constexpr unsigned FirstServerErrorStatus = 500;
@@ -954,6 +970,10 @@
     onAttemptFailed("error_answer", routing::FailureKind::Failed);
     return;
   }
+  if (Attempt_.Continues_) {
+    onNotContinued();
+    return;
+  }
   recordSuccess();
   FirstByteAt_ = Context_.Loop_.now();
   respondWith(Attempt_.Status_, Attempt_.Headers_,
@@ -1058,8 +1078,8 @@
   const Attempt &Last = Successor_ ? *Successor_ : Attempt_;
   unsigned Runs = PossibleRuns_ + (Successor_ ? 2 : 1);
   // A request that may not run again gains nothing from another attempt.
-  if (!Route_->repeatable() || Runs >= Route_->MaxAttempts_ ||
-      !Last.Reading_ || !hasStalled(Last, Now))
+  if (!Route_->repeatable() || Runs >= Route_->MaxAttempts_ || !Last.Reading_ ||
+      !hasStalled(Last, Now))
     return;
   // The next attempt may need as long as this one already took.
   if (Context_.EndsAt_ && Now + (Now - Attempt_.SentAt_) > *Context_.EndsAt_)
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -77,6 +77,8 @@
     bool EndsByClose_ = false;
     /// Events delivered by earlier attempts.
     std::uint64_t EventsBefore_ = 0;
+    /// The stream had started: only further events can go on with it.
+    bool Continues_ = false;
     /// Bytes after the last complete event when the response ended.
     std::size_t UnfinishedBytes_ = 0;
     unsigned Status_ = 0;
@@ -180,6 +182,8 @@
   void onResponseComplete();
   /// Handles the end of a response that is a stream.
   void onStreamEnd();
+  /// Handles a whole response that does not go on with the stream.
+  void onNotContinued();
   /// Handles an attempt that provably did not run the request.
   /// \p MayHaveArrived is false if the endpoint received no byte of the
   /// request.
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -286,7 +286,8 @@
   }
 
   void configure(RequestKind Kind, bool Resumable = false,
-                 std::chrono::milliseconds RouteTimeout = 3000ms) {
+                 std::chrono::milliseconds RouteTimeout = 3000ms,
+                 unsigned MaxAttempts = 2) {
     auto Result = std::make_shared<View>();
     Result->Version_ = 1;
     Route NewRoute;
@@ -295,7 +296,7 @@
     NewRoute.PathPrefix_ = "/orders/";
     NewRoute.Kind_ = Kind;
     NewRoute.Targets_ = {{base::PoolId("pool"), 1}};
-    NewRoute.MaxAttempts_ = 2;
+    NewRoute.MaxAttempts_ = MaxAttempts;
     NewRoute.Timeout_ = RouteTimeout;
     NewRoute.Resumable_ = Resumable;
     NewRoute.HasPrompt_ = Kind == RequestKind::Stream;
@@ -692,6 +693,87 @@
                       true, 1}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// What the next endpoint answers after a stream broke off behind its first
+/// event.
+struct ContinuationCase {
+  std::string_view Name_;
+  net::test::Reply Reply_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ContinuationCase &Value) {
+  return Out << Value.Name_;
+}
+
+net::test::Reply answer(const std::string &StatusLine,
+                        const std::string &Type = "text/plain",
+                        const std::string &Body = "no") {
+  return {"HTTP/1.1 " + StatusLine +
+          "\r\nX-Attempt-Id: a1\r\nX-Signature: s\r\nContent-Type: " + Type +
+          "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+          Body};
+}
+
+class ContinuationTest : public DirectRouterTest,
+                         public testing::WithParamInterface<ContinuationCase> {
+protected:
+  /// Serves a stream that breaks off, then the answer of the case.
+  CallerResponse fetchBroken(unsigned MaxAttempts) {
+    configure(RequestKind::Stream, true, 3000ms, MaxAttempts);
+    std::deque<net::test::Reply> Replies{endedByClose(InsideEvent),
+                                         GetParam().Reply_};
+    auto Next = [&Replies](const std::string &) {
+      net::test::Reply First = std::move(Replies.front());
+      Replies.pop_front();
+      return First;
+    };
+    for (std::string Id : {"s1", "s2"}) {
+      ScriptedEndpoints_.push_back(
+          std::make_unique<net::test::ScriptedPeer>(*Loop_, Next));
+      list(Id, ScriptedEndpoints_.back()->address());
+    }
+    Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+    list("e1", Endpoints_.back()->address(), "far");
+    Script_->push_back(EndpointBehavior::CompleteStream);
+    return fetch(makeCall());
+  }
+};
+
+/// Guards against streams that end as complete, never end, or hold foreign
+/// bytes, because the answer of the next endpoint is no continuation.
+TEST_P(ContinuationTest, StreamIsCutIfNothingContinuesIt) {
+  CallerResponse Response = fetchBroken(2);
+  EXPECT_TRUE(Response.Ended_);
+  EXPECT_FALSE(Response.Complete_);
+  EXPECT_EQ(Response.Body_, OneEvent);
+  EXPECT_EQ(receivedRequests(), 0u);
+}
+
+/// Guards against streams that are cut though an endpoint is left that can go
+/// on with them.
+TEST_P(ContinuationTest, StreamGoesOnAtTheNextEndpoint) {
+  CallerResponse Response = fetchBroken(3);
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(Response.Body_, AllEvents);
+  EXPECT_EQ(receivedRequests(), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, ContinuationTest,
+    testing::Values(
+        ContinuationCase{"bad_request", answer("400 Bad Request")},
+        ContinuationCase{"not_found", answer("404 Not Found")},
+        ContinuationCase{"too_many_requests", answer("429 Too Many Requests")},
+        ContinuationCase{"redirect", answer("302 Found")},
+        ContinuationCase{"server_error", answer("500 Internal Server Error")},
+        ContinuationCase{"json", answer("200 OK", "application/json", "{}")},
+        ContinuationCase{"no_content",
+                         {"HTTP/1.1 204 No Content\r\nX-Attempt-Id: a1\r\n"
+                          "X-Signature: s\r\n\r\n"}},
+        ContinuationCase{"no_event_by_last_chunk", endedByLastChunk("")},
+        ContinuationCase{"no_event_by_length", endedByLength("")},
+        ContinuationCase{"no_event_by_close", endedByClose("")}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 TEST_F(DirectRouterTest, AnswerThatIsNoEventStreamNeedsNoEvents) {
   configure(RequestKind::Stream);
   const std::string Answer = R"({"choices": []})";
@@ -1007,10 +1089,9 @@
                    {"X-Attempt-Id", "a1"},
                    {"X-Time-Left-Ms", "5000"}};
   bool Ended = false;
-  net::OriginCallId Id =
-      Caller_.start(std::move(Call),
-                    {[](const auto &) { return net::HeadVerdict::Accept; },
-                     [](auto) {}, [&Ended](const auto &) { Ended = true; }});
+  net::OriginCallId Id = Caller_.start(
+      std::move(Call), {[](const auto &) { return net::HeadVerdict::Accept; },
+                        [](auto) {}, [&Ended](const auto &) { Ended = true; }});
   wait(200ms);
   Caller_.setReading(Id, false);
   wait(2500ms);
