Don't count a comment as an event of a stream

A comment was also charged like an event.

Cause: EventStream counted every block that ends with an empty line, and a comment alone started a stream.

Comments are still passed on, the first ones together with the first event.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -726,7 +726,8 @@
     auto &Selector = Context_.poolState(Pool_).Selector_;
     Selector.answered(Attempt_.PoolAttempt_, Now);
     Selector.progressed(Attempt_.PoolAttempt_, Now);
-    onEvents(Events);
+    if (!Attempt_.Continues_ || hasEvents())
+      onEvents(Events);
   }
   if (EventStream_.unfinishedBytes() > MaxEventBytes)
     onOversized();
@@ -784,7 +785,8 @@
 }
 
 void ForwardedRequest::passOnHeldEvents() {
-  if (HeldEvents_.empty() || mustHold())
+  // A comment alone does not start a stream.
+  if (HeldEvents_.empty() || !hasEvents() || mustHold())
     return;
   // A successor would begin anew.
   dropSuccessor(routing::FailureKind::Cancelled);
@@ -906,8 +908,7 @@
 void ForwardedRequest::onStreamEnd() {
   std::optional<std::string> Remainder = EventStream_.finish();
   // An endpoint that crashes may close its connection like one that is done.
-  bool HasEvents = EventStream_.eventCount() > Attempt_.EventsBefore_;
-  bool ClosedBeforeEvents = Attempt_.EndsByClose_ && !HasEvents;
+  bool ClosedBeforeEvents = Attempt_.EndsByClose_ && !hasEvents();
   if (!Remainder || ClosedBeforeEvents) {
     observe::log(LogLevel::Warning, "stream_truncated",
                  {{"request", RequestMetadata_.AttemptId_},
@@ -919,7 +920,7 @@
     onAttemptFailed("truncated", routing::FailureKind::LinkLost);
     return;
   }
-  if (Attempt_.Continues_ && !HasEvents) {
+  if (Attempt_.Continues_ && !hasEvents()) {
     onNotContinued();
     return;
   }
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -150,6 +150,10 @@
                          base::TimePoint Now);
   void onBody(std::string_view Data);
   void onEvents(const std::string &Events);
+  /// Whether the current attempt has brought an event.
+  bool hasEvents() const {
+    return EventStream_.eventCount() > Attempt_.EventsBefore_;
+  }
   /// Passes events on to the caller, the first ones with the head.
   void passOn(const std::string &Events);
   /// Whether the caller may take the stream up elsewhere once it has an event.
--- a/libs/direct/include/camphorwind/direct/event-stream.h
+++ b/libs/direct/include/camphorwind/direct/event-stream.h
@@ -18,7 +18,9 @@
   explicit EventStream(std::optional<std::uint64_t> ResumeAfter = std::nullopt)
       : LastId_(ResumeAfter) {}
 
-  /// Appends received bytes; returns the events that they complete, unchanged.
+  /// Appends received bytes; returns the events that they complete, unchanged,
+  /// with the comments before them. A comment of its own is no event, but is
+  /// returned too.
   std::string append(std::string_view Data);
   /// Returns the buffered bytes after the last complete event, or nothing if
   /// the stream ended inside an event. Empty lines and comments belong to no
--- a/libs/direct/src/event-stream.cpp
+++ b/libs/direct/src/event-stream.cpp
@@ -61,6 +61,8 @@
 } // namespace
 
 void EventStream::countEvent(std::string_view Event) {
+  if (isOutsideEvents(Event))
+    return;
   ++EventCount_;
   if (auto Id = parseEventId(Event))
     LastId_ = Id;
