Don't join a stream to one that begins anew

Cause: what follows a break was joined without a look at its ids.

Evidence: ContinuationTest, begins_anew, failed with and without another endpoint left, EventStreamTest.ResponseThatDoesNotGoOnIsNotJoined too.

The first id after a break has to be above the last one; otherwise the attempt has failed.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -716,6 +716,12 @@
   }
   bool HadEvents = EventStream_.eventCount() > 0;
   std::string Events = EventStream_.append(Data);
+  if (EventStream_.repeated()) {
+    Context_.Origins_.cancel(Attempt_.Call_);
+    AttemptActive_ = false;
+    onNotContinued();
+    return;
+  }
   // Bytes that never complete an event are no progress.
   if (!Events.empty()) {
     if (HadEvents)
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -776,6 +776,9 @@
         ContinuationCase{"no_event_by_last_chunk", endedByLastChunk("")},
         ContinuationCase{"no_event_by_length", endedByLength("")},
         ContinuationCase{"no_event_by_close", endedByClose("")},
+        ContinuationCase{"begins_anew",
+                         endedByLastChunk(OneEvent + FakeEndpoint::event(2) +
+                                          FakeEndpoint::event(3))},
         ContinuationCase{"comment_by_last_chunk",
                          endedByLastChunk(": hello\n\n")},
         ContinuationCase{"comment_by_close", endedByClose(": hello\n\n")}),
--- a/libs/direct/include/camphorwind/direct/event-stream.h
+++ b/libs/direct/include/camphorwind/direct/event-stream.h
@@ -26,11 +26,17 @@
   /// the stream ended inside an event. Empty lines and comments belong to no
   /// event. Call when the response has ended without an error.
   std::optional<std::string> finish();
-  /// Discards the incomplete event. Call when the stream breaks off.
+  /// Discards the incomplete event, and goes on with those of another response.
+  /// Call when the stream breaks off.
   void discardUnfinished() {
     Unfinished_.clear();
     SearchFrom_ = 0;
+    Joining_ = EventCount_ > 0;
+    Repeated_ = false;
   }
+  /// Whether the response after a break did not go on behind lastId(). Its
+  /// events are not returned.
+  bool repeated() const { return Repeated_; }
 
   /// Number of bytes after the last complete event.
   std::size_t unfinishedBytes() const { return Unfinished_.size(); }
@@ -41,13 +47,17 @@
   std::uint64_t eventCount() const { return EventCount_; }
 
 private:
-  void countEvent(std::string_view Event);
+  /// Returns false if the event is one that the caller has.
+  bool countEvent(std::string_view Event);
 
   std::string Unfinished_;
   /// Offset in Unfinished_ at which to search for the end of the event.
   std::size_t SearchFrom_ = 0;
   std::optional<std::uint64_t> LastId_;
   std::uint64_t EventCount_ = 0;
+  /// No event with an id has come since the stream broke off.
+  bool Joining_ = false;
+  bool Repeated_ = false;
 };
 
 } // namespace camphorwind::direct
--- a/libs/direct/src/event-stream.cpp
+++ b/libs/direct/src/event-stream.cpp
@@ -60,23 +60,33 @@
 
 } // namespace
 
-void EventStream::countEvent(std::string_view Event) {
+bool EventStream::countEvent(std::string_view Event) {
   if (isOutsideEvents(Event))
-    return;
+    return true;
+  auto Id = parseEventId(Event);
+  if (Joining_ && Id && LastId_ && *Id <= *LastId_)
+    return false;
   ++EventCount_;
-  if (auto Id = parseEventId(Event))
+  if (Id) {
     LastId_ = Id;
+    Joining_ = false;
+  }
+  return true;
 }
 
 std::string EventStream::append(std::string_view Data) {
+  if (Repeated_)
+    return {};
   Unfinished_.append(Data);
   std::size_t CompleteBytes = 0;
   std::size_t From = SearchFrom_;
   for (std::size_t End = findEventEnd(Unfinished_, From);
        End != std::string_view::npos;
        End = findEventEnd(Unfinished_, CompleteBytes)) {
-    countEvent(std::string_view(Unfinished_)
-                   .substr(CompleteBytes, End - CompleteBytes));
+    Repeated_ = !countEvent(std::string_view(Unfinished_)
+                                .substr(CompleteBytes, End - CompleteBytes));
+    if (Repeated_)
+      break;
     CompleteBytes = End;
   }
   // The terminator LF CR LF may be split between two reads, so the next search
--- a/libs/direct/test/event-stream-test.cpp
+++ b/libs/direct/test/event-stream-test.cpp
@@ -37,6 +37,19 @@
   EXPECT_EQ(Stream.lastId(), 1u);
 }
 
+/// Guards against events that a caller gets twice, because an endpoint begins
+/// anew instead of going on.
+TEST(EventStreamTest, ResponseThatDoesNotGoOnIsNotJoined) {
+  EventStream Stream;
+  Stream.append("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  Stream.discardUnfinished();
+  EXPECT_EQ(Stream.append("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), "");
+  EXPECT_TRUE(Stream.repeated());
+  Stream.discardUnfinished();
+  EXPECT_EQ(Stream.append("id: 3\ndata: c\n\n"), "id: 3\ndata: c\n\n");
+  EXPECT_FALSE(Stream.repeated());
+}
+
 TEST(EventStreamTest, CommentIsNoEvent) {
   EventStream Stream;
   EXPECT_EQ(Stream.append(": hello\n\n"), ": hello\n\n");
