Don't take a success without a body that ends by close for whole

Cause: the close of a connection counted as the end of the body. Streams were treated so before.

Evidence: SuccessThatClosesBeforeItsBodyIsNotWhole got 200 before, 502 now.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -969,6 +969,13 @@
     onAttemptFailed("unattributable", routing::FailureKind::Failed);
     return;
   }
+  if (Attempt_.Status_ < FirstErrorStatus && Attempt_.EndsByClose_ &&
+      Attempt_.Body_.empty()) {
+    // An endpoint that crashes may close its connection like one that is done.
+    onConnectionLost(Attempt_);
+    onAttemptFailed("truncated", routing::FailureKind::LinkLost);
+    return;
+  }
   if (Attempt_.Status_ < FirstErrorStatus && !Attempt_.Signed_) {
     onAttemptFailed("unsigned", routing::FailureKind::Failed);
     return;
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -784,6 +784,16 @@
         ContinuationCase{"comment_by_close", endedByClose(": hello\n\n")}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against an empty body that reaches callers as whole, because its
+/// endpoint closed right after the head of a response without a length.
+TEST_F(DirectRouterTest, SuccessThatClosesBeforeItsBodyIsNotWhole) {
+  configure(RequestKind::NonIdempotent);
+  addScriptedEndpoint({{"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                        "X-Signature: s\r\n\r\n",
+                        net::test::Then::Close}});
+  EXPECT_EQ(fetch(makeCall()).Status_, 502u);
+}
+
 TEST_F(DirectRouterTest, AnswerThatIsNoEventStreamNeedsNoEvents) {
   configure(RequestKind::Stream);
   const std::string Answer = R"({"choices": []})";
