Don't take an answer for whole that was closed inside its head

What callers saw: an endpoint stopped in the middle of its answer's head and closed its connection, and the caller got a 200 with an empty body, framed as whole (MIXED, ORDER; a report from other operators). Here only behind agents (camphor-agent), and in calls to the store: routers that call endpoints directly parse heads with Beast, which tells.

Cause: libcurl ends a call without an error when the peer closes after any line of the head, and when it closes before the body of an answer that has neither a length nor chunks.

HttpClient now needs the empty line after the last head, and a body, a length, chunks or a status without a body, for an answer to be whole.

--- a/libs/net/src/http-client.cpp
+++ b/libs/net/src/http-client.cpp
@@ -32,6 +32,9 @@
   HttpCall Call_;
   HttpCallEvents Events_;
   bool HeadSeen_ = false;
+  /// The empty line after the last head has arrived.
+  bool HeadWhole_ = false;
+  bool BodySeen_ = false;
   /// Ended or cancelled; callbacks of libcurl are ignored.
   bool Detached_ = false;
   Timer StallTimer_;
@@ -87,9 +90,47 @@
   Self.Events_.OnHead_(statusOf(Self.Easy_), ContentType ? ContentType : "");
 }
 
+/// Called with each line of a head, the empty one included.
+std::size_t onHeadLine(char *Data, std::size_t Size, std::size_t Count,
+                       void *Target) {
+  auto &Self = *static_cast<Transfer *>(Target);
+  std::string_view Line(Data, Size * Count);
+  if (Line.starts_with("HTTP/"))
+    Self.HeadWhole_ = false;
+  else if (Line == "\r\n" || Line == "\n")
+    Self.HeadWhole_ = true;
+  return Line.size();
+}
+
+bool isChunked(CURL *Easy) {
+  curl_header *Field = nullptr;
+  constexpr int LastRequest = -1;
+  return curl_easy_header(Easy, "Transfer-Encoding", 0, CURLH_HEADER,
+                          LastRequest, &Field) == CURLHE_OK;
+}
+
+/// Whether a peer that has closed its connection had said that there is no
+/// body, or had sent some of it. libcurl takes any close for the end of an
+/// answer without a length, even inside its head.
+bool isWhole(const Transfer &Self) {
+  if (!Self.HeadWhole_)
+    return false;
+  constexpr unsigned FirstSuccess = 200;
+  constexpr unsigned NoContent = 204;
+  constexpr unsigned FirstError = 300;
+  unsigned Status = statusOf(Self.Easy_);
+  if (Self.BodySeen_ || Self.Call_.Method_ == "HEAD" || Status < FirstSuccess ||
+      Status == NoContent || Status >= FirstError)
+    return true;
+  curl_off_t Length = -1;
+  curl_easy_getinfo(Self.Easy_, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &Length);
+  return Length >= 0 || isChunked(Self.Easy_);
+}
+
 std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                    void *Target) {
   auto &Self = *static_cast<Transfer *>(Target);
+  Self.BodySeen_ = true;
   if (Self.Detached_)
     return Size * Count;
   Self.touch();
@@ -187,6 +228,12 @@
     if (!Ended)
       return;
     unsigned Status = detail::statusOf(Ended->Easy_);
+    if (Code == CURLE_OK && !detail::isWhole(*Ended)) {
+      if (Ended->Events_.OnEnd_)
+        Ended->Events_.OnEnd_(base::failure(HttpCallError{
+            HttpCallErrorKind::Lost, "closed inside the answer"}));
+      return;
+    }
     if (Code == CURLE_OK) {
       detail::reportHead(*Ended);
       if (Ended->Events_.OnEnd_)
@@ -303,6 +350,8 @@
     curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
   }
+  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, detail::onHeadLine);
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, Self.get());
   curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, detail::onBody);
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, Self.get());
   Self->touch();
--- a/libs/net/test/http-client-test.cpp
+++ b/libs/net/test/http-client-test.cpp
@@ -2,11 +2,15 @@
 
 #include "camphorwind/net/http-server.h"
 
+#include "scripted-peer.h"
+
 #include <gtest/gtest.h>
 
 #include <chrono>
 #include <optional>
+#include <ostream>
 #include <string>
+#include <string_view>
 
 using namespace camphorwind::base;
 using namespace camphorwind::net;
@@ -79,6 +83,65 @@
   EXPECT_EQ(errorOf(call()), HttpCallErrorKind::Lost);
 }
 
+/// Bytes of an answer whose peer then closes the connection.
+struct ClosedAnswerCase {
+  std::string_view Name_;
+  std::string Bytes_;
+  bool Whole_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ClosedAnswerCase &Value) {
+  return Out << Value.Name_;
+}
+
+class ClosedAnswerTest : public HttpClientTest,
+                         public testing::WithParamInterface<ClosedAnswerCase> {
+};
+
+/// Guards against answers that count as whole, with an empty body, because the
+/// peer closed the connection inside their head or before their body.
+TEST_P(ClosedAnswerTest, IsWholeOnlyIfItsHeadIsAndABodyFollows) {
+  test::ScriptedPeer Peer(*Owner_, {{GetParam().Bytes_, test::Then::Close}});
+  HttpCall Call;
+  Call.Url_ = "http://" + toString(Peer.address()) + "/";
+  auto Error = errorOf(std::move(Call));
+  EXPECT_EQ(!Error, GetParam().Whole_);
+  if (Error) {
+    EXPECT_EQ(*Error, HttpCallErrorKind::Lost);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, ClosedAnswerTest,
+    testing::Values(
+        ClosedAnswerCase{"inside_the_status_line", "HTTP/1.1 200 O"},
+        ClosedAnswerCase{"after_the_status_line", "HTTP/1.1 200 OK\r\n"},
+        ClosedAnswerCase{"inside_a_field", "HTTP/1.1 200 OK\r\nContent-Le"},
+        ClosedAnswerCase{"after_a_field", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"},
+        ClosedAnswerCase{"after_the_length",
+                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"},
+        ClosedAnswerCase{"inside_the_empty_line",
+                         "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r"},
+        ClosedAnswerCase{"after_an_interim_head",
+                         "HTTP/1.1 100 Continue\r\n\r\n"},
+        ClosedAnswerCase{"inside_the_head_after_an_interim_one",
+                         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"},
+        ClosedAnswerCase{"before_a_body_without_length",
+                         "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"},
+        ClosedAnswerCase{"before_a_body_of_http_1_0",
+                         "HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\n"},
+        ClosedAnswerCase{"inside_a_body_with_length",
+                         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwho"},
+        ClosedAnswerCase{"after_a_body_without_length",
+                         "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole", true},
+        ClosedAnswerCase{"after_a_length_of_zero",
+                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true},
+        ClosedAnswerCase{"after_no_content", "HTTP/1.1 204 No Content\r\n\r\n",
+                         true},
+        ClosedAnswerCase{"error_without_body",
+                         "HTTP/1.1 404 Not Found\r\nX-Id: 1\r\n\r\n", true}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 TEST_F(HttpClientTest, PausedBodyIsDeliveredAgainAfterResume) {
   OnRequest_ = [this] { Kept_->respond({200, {}, "body"}); };
   int Deliveries = 0;
