Let a successor answer before it replaces an attempt

What callers would have seen: if the silent endpoint came back only to refuse or to fail, its head ended a successor that worked on the request, and the stream was cut; a 404 of the successor was dropped, and its endpoint counted as failing; a successor that sent a head and no event ended an attempt that would have gone on; refused successors followed each other every 50 ms.

Evidence: SuccessorTest failed with a silent endpoint that refuses and one that fails, and ClientErrorOfTheSuccessorIsTheAnswer with 504 for 404. BothEndpointsNoticeThatTheCallerHasLeft and SilenceTest with a head alone were not red; the first held before, the second was not run on the code before.

An attempt is replaced by the first event of its successor's stream, or by its whole answer; it ends its successor by an event, or by the body of what may be the answer.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -497,8 +497,9 @@
   Sent.Number_ = ++Sends_;
   Sent.Placement_ = Placement;
   Sent.Target_ = *Target;
-  Sent.SentAt_ = Now;
+  Sent.SentAt_ = LastSentAt_ = Now;
   Sent.LastProgressAt_ = Now;
+  Sent.Continues_ = StreamStarted_;
   Sent.PoolAttempt_ = Context_.poolState(Pool_).Selector_.sent(
       Placement, PlacementRequest, Now);
 
@@ -518,14 +519,17 @@
     auto Self = Weak.lock();
     return Self ? Self->onHead(Number, Head) : net::HeadVerdict::Skip;
   };
-  Events.OnBody_ = [Weak](std::string_view Data) {
-    if (auto Self = Weak.lock())
+  Events.OnBody_ = [Weak, Number = Sent.Number_](std::string_view Data) {
+    auto Self = Weak.lock();
+    if (Self && Self->isSuccessor(Number))
+      Self->onSuccessorBody(Data);
+    else if (Self)
       Self->onBody(Data);
   };
   Events.OnEnd_ = [Weak, Number = Sent.Number_](
                       const base::Result<void, net::OriginError> &Result) {
     auto Self = Weak.lock();
-    if (Self && Self->Successor_ && Self->Successor_->Number_ == Number)
+    if (Self && Self->isSuccessor(Number))
       Self->onSuccessorEnd(Result);
     else if (Self)
       Self->onEnd(Result);
@@ -550,43 +554,70 @@
   return Sent;
 }
 
+bool ForwardedRequest::isSuccessor(unsigned Number) const {
+  return Successor_ && Successor_->Number_ == Number;
+}
+
 net::HeadVerdict ForwardedRequest::onHead(unsigned Number,
                                           const net::OriginHead &Head) {
-  if (!Successor_)
+  if (!isSuccessor(Number))
     return readHead(Attempt_, Head);
-  if (Successor_->Number_ != Number) {
-    net::HeadVerdict Verdict = readHead(Attempt_, Head);
-    if (Verdict == net::HeadVerdict::Accept)
-      dropSuccessor(routing::FailureKind::Cancelled);
-    return Verdict;
-  }
   net::HeadVerdict Verdict = readHead(*Successor_, Head);
-  if (Verdict != net::HeadVerdict::Accept)
-    return Verdict;
-  if (!successorAnswers()) {
+  if (Verdict == net::HeadVerdict::Accept && !beginsAnswer(*Successor_))
     dropSuccessor(Successor_->NotExecuted_ ? routing::FailureKind::Refused
                                            : routing::FailureKind::Failed,
                   !Successor_->NotExecuted_);
-    return net::HeadVerdict::Accept;
+  return Verdict;
+}
+
+bool ForwardedRequest::beginsAnswer(const Attempt &Of) const {
+  constexpr unsigned FirstErrorStatus = 300;
+  constexpr unsigned FirstServerErrorStatus = 500;
+  if (Of.NotExecuted_ || Of.Unattributable_)
+    return false;
+  if (Of.Continues_)
+    return Of.Streaming_;
+  return Of.Status_ < FirstErrorStatus ? Of.Signed_
+                                       : Of.Status_ < FirstServerErrorStatus;
+}
+
+void ForwardedRequest::onSuccessorBody(std::string_view Data) {
+  Successor_->LastProgressAt_ = Context_.Loop_.now();
+  Successor_->Body_.append(Data);
+  if (!Successor_->Streaming_) {
+    if (Successor_->Body_.size() > MaxResponseBytes)
+      dropSuccessor(routing::FailureKind::Failed);
+    return;
   }
+  EventStream Joined = HeldEvents_.empty()
+                           ? EventStream_
+                           : EventStream(RequestMetadata_.LastEventId_);
+  Joined.discardUnfinished();
+  std::uint64_t EventsBefore = Joined.eventCount();
+  Joined.append(Successor_->Body_);
+  if (Joined.repeated() || Joined.unfinishedBytes() > MaxEventBytes)
+    dropSuccessor(routing::FailureKind::Failed);
+  else if (Joined.eventCount() > EventsBefore)
+    replaceAttempt();
+  chargeResponse();
+}
+
+void ForwardedRequest::replaceAttempt() {
   Context_.Origins_.cancel(Attempt_.Call_);
+  AttemptActive_ = false;
   recordFailure(routing::FailureKind::Stalled);
   ++PossibleArrivals_;
   ++PossibleRuns_;
   promoteSuccessor();
-  return net::HeadVerdict::Accept;
-}
-
-bool ForwardedRequest::successorAnswers() const {
-  constexpr unsigned FirstErrorStatus = 300;
-  return !Successor_->NotExecuted_ && !Successor_->Unattributable_ &&
-         Successor_->Signed_ && Successor_->Status_ < FirstErrorStatus &&
-         (Successor_->Streaming_ || !StreamStarted_);
 }
 
 void ForwardedRequest::promoteSuccessor() {
   Context_.Metrics_.count("direct_retries", "reason", "stalled");
   useAttempt(std::move(*std::exchange(Successor_, std::nullopt)));
+  if (!Attempt_.Streaming_ || Attempt_.Body_.empty())
+    return;
+  std::string Received = std::exchange(Attempt_.Body_, {});
+  onBody(Received);
 }
 
 void ForwardedRequest::dropSuccessor(routing::FailureKind Kind,
@@ -602,14 +633,22 @@
 
 void ForwardedRequest::onSuccessorEnd(
     const base::Result<void, net::OriginError> &Result) {
-  // Its head would have made it the current attempt, or ended it.
-  if (Result)
+  if (Result && Successor_->Streaming_) {
+    // Its first event would have made it the current attempt.
+    dropSuccessor(routing::FailureKind::Failed);
     return;
-  const net::OriginError &Error = Result.error();
-  logBroken(*Successor_, Error);
+  }
+  if (Result && !endsBeforeBody(*Successor_)) {
+    replaceAttempt();
+    AttemptActive_ = false;
+    onResponseComplete();
+    return;
+  }
   Attempt Ended = std::move(*std::exchange(Successor_, std::nullopt));
-  if (!Error.MayHaveReached_) {
-    reportFailure(Ended, unsentFailureOf(Error));
+  if (!Result)
+    logBroken(Ended, Result.error());
+  if (!Result && !Result.error().MayHaveReached_) {
+    reportFailure(Ended, unsentFailureOf(Result.error()));
     return;
   }
   onConnectionLost(Ended);
@@ -618,6 +657,11 @@
   ++PossibleRuns_;
 }
 
+bool ForwardedRequest::endsBeforeBody(const Attempt &Of) {
+  constexpr unsigned FirstErrorStatus = 300;
+  return Of.Status_ < FirstErrorStatus && Of.EndsByClose_ && Of.Body_.empty();
+}
+
 net::HeadVerdict ForwardedRequest::readHead(Attempt &Of,
                                             const net::OriginHead &Head) {
   ResponseMetadata Response = parseResponseHeaders(Head.Status_, Head.Headers_,
@@ -707,7 +751,8 @@
   base::TimePoint Now = Context_.Loop_.now();
   if (!Attempt_.Streaming_) {
     Attempt_.LastProgressAt_ = Now;
-    dropSuccessor(routing::FailureKind::Cancelled);
+    if (beginsAnswer(Attempt_))
+      dropSuccessor(routing::FailureKind::Cancelled);
     Attempt_.Body_.append(Data);
     if (Attempt_.Body_.size() > MaxResponseBytes)
       onOversized();
@@ -728,7 +773,8 @@
       Attempt_.LongestGap_ =
           std::max(Attempt_.LongestGap_, Now - Attempt_.LastProgressAt_);
     Attempt_.LastProgressAt_ = Now;
-    dropSuccessor(routing::FailureKind::Cancelled);
+    if (hasEvents())
+      dropSuccessor(routing::FailureKind::Cancelled);
     auto &Selector = Context_.poolState(Pool_).Selector_;
     Selector.answered(Attempt_.PoolAttempt_, Now);
     Selector.progressed(Attempt_.PoolAttempt_, Now);
@@ -755,7 +801,8 @@
   if (!AttemptActive_)
     return 0;
   return Attempt_.Body_.capacity() + EventStream_.unfinishedBytes() +
-         HeldEvents_.capacity();
+         HeldEvents_.capacity() +
+         (Successor_ ? Successor_->Body_.capacity() : 0);
 }
 
 void ForwardedRequest::chargeResponse() {
@@ -969,8 +1016,7 @@
     onAttemptFailed("unattributable", routing::FailureKind::Failed);
     return;
   }
-  if (Attempt_.Status_ < FirstErrorStatus && Attempt_.EndsByClose_ &&
-      Attempt_.Body_.empty()) {
+  if (endsBeforeBody(Attempt_)) {
     // An endpoint that crashes may close its connection like one that is done.
     onConnectionLost(Attempt_);
     onAttemptFailed("truncated", routing::FailureKind::LinkLost);
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -173,11 +173,17 @@
   /// responses if all hold too many.
   void chargeResponse();
   void onEnd(const base::Result<void, net::OriginError> &Result);
-  /// Handles the end of the successor before its response has begun.
+  bool isSuccessor(unsigned Number) const;
+  /// Keeps what the successor's response has brought until it can replace the
+  /// current attempt's: a further event of a stream, or a whole answer.
+  void onSuccessorBody(std::string_view Data);
   void onSuccessorEnd(const base::Result<void, net::OriginError> &Result);
-  /// Whether the head of the successor's response begins an answer that can
-  /// replace the current attempt's.
-  bool successorAnswers() const;
+  /// Whether the response may become the answer to the request, by its head.
+  bool beginsAnswer(const Attempt &Of) const;
+  /// Whether a success ended with its connection, without a byte of its body.
+  static bool endsBeforeBody(const Attempt &Of);
+  /// Gives the current attempt up for its successor.
+  void replaceAttempt();
   /// Makes the successor the current attempt; the one before has ended.
   void promoteSuccessor();
   /// Ends the successor, if there is one. \p MayHaveRun is false if its
@@ -218,8 +224,8 @@
   bool hasStalled(const Attempt &Of, base::TimePoint Now) const;
   /// Sends a successor beside an attempt that has stalled, if the request may
   /// be retried and another endpoint could take it now. The attempt goes on
-  /// until the successor's response begins: a sound endpoint may fall silent
-  /// and go on, and the other one may refuse.
+  /// until the successor has answered: a sound endpoint may fall silent and go
+  /// on, and the other one may refuse.
   void checkStall(base::TimePoint Now);
 
   void onCallerDisconnect();
@@ -274,7 +280,7 @@
 
   Attempt Attempt_;
   bool AttemptActive_ = false;
-  /// Attempt that replaces Attempt_ once its response begins.
+  /// Attempt that replaces Attempt_ once it answers.
   std::optional<Attempt> Successor_;
   /// Software version at which the stream has begun, so that it may go on only
   /// there; unset before its first event.
@@ -287,6 +293,7 @@
   unsigned PossibleRuns_ = 0;
   /// Number of attempts, whether or not an endpoint received them.
   unsigned Sends_ = 0;
+  base::TimePoint LastSentAt_{};
   EventStream EventStream_;
   bool StreamStarted_ = false;
   /// Events received before the stream may start.
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -22,6 +22,7 @@
 #include <string>
 #include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 /// Tests a router with fake endpoints and callers on one event loop.
@@ -69,6 +70,13 @@
   SilentUntilAbort,
   /// Falls silent before it completes a stream.
   SilentUntilStream,
+  /// Falls silent, then says that it has not run the request.
+  SilentUntilRefusal,
+  /// Falls silent, then fails.
+  SilentUntilError,
+  /// Sends the head of a stream and no event.
+  HeadOnly,
+  NotFound,
 };
 
 /// Behaviors for successive requests, whichever endpoint receives them. Once
@@ -208,6 +216,27 @@
           Loop_, [this, Exchange] { sendStream(Exchange, false); });
       DripTimer_->start(Silence_);
       return;
+    case EndpointBehavior::SilentUntilRefusal:
+    case EndpointBehavior::SilentUntilError: {
+      net::HttpHeaders Headers = responseHeaders();
+      unsigned Status = 500;
+      if (Next == EndpointBehavior::SilentUntilRefusal) {
+        Headers.add("X-Not-Executed", "1");
+        Status = 503;
+      }
+      DripTimer_ =
+          std::make_unique<net::Timer>(Loop_, [Exchange, Status, Headers] {
+            Exchange->respond({Status, Headers, "no"});
+          });
+      DripTimer_->start(Silence_);
+      return;
+    }
+    case EndpointBehavior::HeadOnly:
+      Exchange->startStream(200, responseHeaders());
+      OpenExchanges_.push_back(Exchange);
+      return;
+    case EndpointBehavior::NotFound:
+      return Exchange->respond({404, responseHeaders(), "unknown"});
     case EndpointBehavior::NoResponse:
       OpenExchanges_.push_back(Exchange);
     }
@@ -1067,6 +1096,10 @@
                     .Other_ = "v1",
                     .Requests_ = 2,
                     .OtherBehavior_ = EndpointBehavior::NoResponse},
+        SilenceCase{.Name_ = "another_that_sends_only_a_head",
+                    .Other_ = "v1",
+                    .Requests_ = 2,
+                    .OtherBehavior_ = EndpointBehavior::HeadOnly},
         SilenceCase{.Name_ = "no_head_while_another_is_full",
                     .Kind_ = RequestKind::Idempotent,
                     .Behavior_ = EndpointBehavior::SilentResponse,
@@ -1078,25 +1111,79 @@
                     .Behavior_ = EndpointBehavior::SilentResponse}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
-/// Guards against streams that are cut because their endpoint breaks off while
-/// another one has not answered yet.
-TEST_F(DirectRouterTest, SuccessorOfASilentEndpointGoesOnAloneIfThatBreaks) {
+/// How a silent endpoint ends while another one works on its request.
+struct SuccessorCase {
+  std::string_view Name_;
+  EndpointBehavior Silent_ = EndpointBehavior::SilentUntilAbort;
+};
+
+std::ostream &operator<<(std::ostream &Out, const SuccessorCase &Value) {
+  return Out << Value.Name_;
+}
+
+class SuccessorTest : public DirectRouterTest,
+                      public testing::WithParamInterface<SuccessorCase> {
+protected:
+  net::OriginRequest makePatientCall() {
+    net::OriginRequest Call = makeCall();
+    Call.Headers_ = {{"Host", "shop.example"},
+                     {"Authorization", "Bearer secret"},
+                     {"X-Attempt-Id", "a1"},
+                     {"X-Time-Left-Ms", "4000"}};
+    return Call;
+  }
+
+  void addEndpoints(EndpointBehavior First, EndpointBehavior Second) {
+    FakeEndpoint &Silent = addEndpoint({First, Second});
+    FakeEndpoint &Successor = addEndpoint();
+    Silent.Silence_ = Successor.Silence_ = 1600ms;
+  }
+};
+
+/// Guards against streams that are cut because their endpoint breaks off, or
+/// refuses, while another one has not answered yet.
+TEST_P(SuccessorTest, GoesOnAloneIfTheSilentEndpointFails) {
   configure(RequestKind::Stream, true, 4000ms);
-  FakeEndpoint &Silent = addEndpoint({EndpointBehavior::SilentUntilAbort,
-                                      EndpointBehavior::SilentUntilStream});
-  FakeEndpoint &Successor = addEndpoint();
-  Silent.Silence_ = Successor.Silence_ = 1600ms;
-  net::OriginRequest Call = makeCall();
-  Call.Headers_ = {{"Host", "shop.example"},
-                   {"Authorization", "Bearer secret"},
-                   {"X-Attempt-Id", "a1"},
-                   {"X-Time-Left-Ms", "4000"}};
-  CallerResponse Response = fetch(std::move(Call));
+  addEndpoints(GetParam().Silent_, EndpointBehavior::SilentUntilStream);
+  CallerResponse Response = fetch(makePatientCall());
   EXPECT_TRUE(Response.Complete_);
   EXPECT_EQ(Response.Body_, AllEvents);
   EXPECT_EQ(receivedRequests(), 2u);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Ends, SuccessorTest,
+    testing::Values(SuccessorCase{"aborts", EndpointBehavior::SilentUntilAbort},
+                    SuccessorCase{"refuses",
+                                  EndpointBehavior::SilentUntilRefusal},
+                    SuccessorCase{"fails", EndpointBehavior::SilentUntilError}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
+/// Guards against answers that are dropped because they are no success, though
+/// the silent endpoint never answers.
+TEST_F(SuccessorTest, ClientErrorOfTheSuccessorIsTheAnswer) {
+  configure(RequestKind::Idempotent);
+  addEndpoints(EndpointBehavior::NoResponse, EndpointBehavior::NotFound);
+  CallerResponse Response = fetch(makeCall());
+  EXPECT_EQ(Response.Status_, 404u);
+  EXPECT_EQ(Response.Body_, "unknown");
+}
+
+/// Guards against endpoints that work on after the caller has left.
+TEST_F(SuccessorTest, BothEndpointsNoticeThatTheCallerHasLeft) {
+  configure(RequestKind::Stream, true, 4000ms);
+  addEndpoints(EndpointBehavior::NoResponse, EndpointBehavior::NoResponse);
+  net::OriginCallId Id = Caller_.start(
+      makePatientCall(), {[](const auto &) { return net::HeadVerdict::Accept; },
+                          [](auto) {}, [](const auto &) {}});
+  wait(1800ms);
+  EXPECT_EQ(receivedRequests(), 2u);
+  Caller_.cancel(Id);
+  wait(100ms);
+  for (const auto &Each : Endpoints_)
+    EXPECT_EQ(Each->Disconnects_, 1);
+}
+
 /// Guards against streams that are sent again, or cut, because the router takes
 /// the time in which their caller read nothing for silence of the endpoint.
 TEST_F(DirectRouterTest, StreamOfASlowCallerStaysAtItsEndpoint) {
@@ -1131,6 +1218,8 @@
   std::chrono::milliseconds RouteTimeout_ = 3000ms;
   /// Pauses as soon as the endpoint has accepted the connection.
   bool OnConnect_ = false;
+  /// Pauses while the loop handles files, in a turn in which timers are due.
+  bool AmongFiles_ = false;
 };
 
 std::ostream &operator<<(std::ostream &Out, const PausedRouterCase &Value) {
@@ -1151,9 +1240,25 @@
   list("other", Endpoints_.back()->address(), "far");
   Script_->push_back(EndpointBehavior::CompleteStream);
   auto Pause = [] { std::this_thread::sleep_for(1700ms); };
-  net::Timer Later(*Loop_, [&] {
+  auto ReceiveDuringPause = [&] {
     Sound.sendToAll(Case.During_);
     Pause();
+  };
+  int Ends[2];
+  ASSERT_EQ(::pipe(Ends), 0);
+  net::FdWatcher Readable(*Loop_, [&](bool, bool) {
+    Readable.stop();
+    ReceiveDuringPause();
+  });
+  net::Timer Later(*Loop_, [&] {
+    if (!Case.AmongFiles_) {
+      ReceiveDuringPause();
+      return;
+    }
+    Readable.start(Ends[0], net::Interest::Read);
+    ASSERT_EQ(::write(Ends[1], "x", 1), 1);
+    constexpr auto TimeForTick = 60ms;
+    std::this_thread::sleep_for(TimeForTick);
   });
   if (Case.OnConnect_)
     Sound.onAccept(Pause);
@@ -1163,6 +1268,8 @@
   EXPECT_EQ(Response.Status_, 200u);
   EXPECT_TRUE(Response.Complete_);
   EXPECT_EQ(receivedRequests(), 0u) << "requests at the other endpoint";
+  ::close(Ends[0]);
+  ::close(Ends[1]);
 }
 
 const std::string WholeAnswer =
