Skip a tick in a turn that was itself long

Cause: the loop gathers what is ready at the start of a turn. A timer of that turn runs after the pause and before what arrived meanwhile.

Evidence: PausedRouterTest, among_files, got 504 before.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -276,6 +276,11 @@
 
   void tick() {
     base::TimePoint Now = Context_.Loop_.now();
+    // What arrived during a long turn is read in the next one.
+    bool Unread = Now - TurnedAt_ > MaxTurn;
+    if (Unread && !std::exchange(TickSkipped_, true))
+      return;
+    TickSkipped_ = false;
     PreviousTickAt_ = std::exchange(TickedAt_, Now);
     Context_.Endpoints_.tick(Now);
     Context_.applyEndpointChanges();
@@ -379,6 +384,7 @@
   net::TurnWatcher Turns_;
   /// When the loop last began a turn.
   base::TimePoint TurnedAt_ = Context_.Loop_.now();
+  bool TickSkipped_ = false;
   std::size_t Routers_ = 1;
   std::optional<base::TimePoint> ClaimsReadAt_;
   base::TimePoint SweptAt_{};
