Keep the last send for an attempt that breaks

What callers would have seen: a stream whose endpoint was silent while the others were full was cut when that endpoint broke off, though another one could have gone on: three refused successors had used up all sends within 150 ms.

Evidence: SuccessorTest.RefusedSuccessorsLeaveASendForABreak failed before.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -497,7 +497,7 @@
   Sent.Number_ = ++Sends_;
   Sent.Placement_ = Placement;
   Sent.Target_ = *Target;
-  Sent.SentAt_ = LastSentAt_ = Now;
+  Sent.SentAt_ = Now;
   Sent.LastProgressAt_ = Now;
   Sent.Continues_ = StreamStarted_;
   Sent.PoolAttempt_ = Context_.poolState(Pool_).Selector_.sent(
@@ -1141,6 +1141,9 @@
   if (!Route_->repeatable() || Runs >= Route_->MaxAttempts_ || !Last.Reading_ ||
       !hasStalled(Last, Now))
     return;
+  // The last send is kept for the case that the current attempt breaks.
+  if (Sends_ + 1 >= MaxSends)
+    return;
   // The next attempt may need as long as this one already took.
   if (Context_.EndsAt_ && Now + (Now - Attempt_.SentAt_) > *Context_.EndsAt_)
     return;
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -293,7 +293,6 @@
   unsigned PossibleRuns_ = 0;
   /// Number of attempts, whether or not an endpoint received them.
   unsigned Sends_ = 0;
-  base::TimePoint LastSentAt_{};
   EventStream EventStream_;
   bool StreamStarted_ = false;
   /// Events received before the stream may start.
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1169,6 +1169,25 @@
   EXPECT_EQ(Response.Body_, "unknown");
 }
 
+/// Guards against streams that are cut when their silent endpoint breaks off,
+/// because refused successors have used up all sends.
+TEST_F(SuccessorTest, RefusedSuccessorsLeaveASendForABreak) {
+  configure(RequestKind::Stream, true, 4000ms);
+  constexpr auto Refusal = EndpointBehavior::NotExecuted;
+  addEndpoint({EndpointBehavior::SilentUntilAbort, Refusal, Refusal, Refusal});
+  for (int Count = 0; Count < 4; ++Count)
+    addEndpoint();
+  for (const auto &Each : Endpoints_)
+    Each->Silence_ = 2400ms;
+  net::Timer Recovery(
+      *Loop_, [this] { *Script_ = {EndpointBehavior::CompleteStream}; });
+  Recovery.start(2200ms);
+  CallerResponse Response = fetch(makePatientCall());
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(Response.Body_, AllEvents);
+  EXPECT_EQ(receivedRequests(), 4u);
+}
+
 /// Guards against endpoints that work on after the caller has left.
 TEST_F(SuccessorTest, BothEndpointsNoticeThatTheCallerHasLeft) {
   configure(RequestKind::Stream, true, 4000ms);
