--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -1136,6 +1136,7 @@
 
 void ForwardedRequest::checkStall(base::TimePoint Now) {
   const Attempt &Last = Successor_ ? *Successor_ : Attempt_;
+  // Attempts in progress may turn out to have run.
   unsigned Runs = PossibleRuns_ + (Successor_ ? 2 : 1);
   // A request that may not run again gains nothing from another attempt.
   if (!Route_->repeatable() || Runs >= Route_->MaxAttempts_ || !Last.Reading_ ||
