Log how a caller's connection ended

Every connection that ended before its answer was logged as caller_gone, also when the router's own server had closed it, and an answer that was never delivered as answered. HttpExchange::onHangup now says how the connection ended and request_ended has it as connection_end; what the router could not send is answer_lost. answer_undelivered covers answers that were ready.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -124,9 +124,9 @@
 
 void ForwardedRequest::start() {
   Context_.OpenRequests_.insert(shared_from_this());
-  Exchange_->onHangup([Weak = weak_from_this()] {
+  Exchange_->onHangup([Weak = weak_from_this()](net::ConnectionEnd End) {
     if (auto Self = Weak.lock())
-      Self->onCallerDisconnect();
+      Self->onConnectionEnd(End);
   });
   if (auto Reason = admit()) {
     refuse(*Reason);
@@ -1179,7 +1179,7 @@
   refuse(RefusalReason::ShuttingDown);
 }
 
-void ForwardedRequest::onCallerDisconnect() {
+void ForwardedRequest::onConnectionEnd(net::ConnectionEnd End) {
   if (Finished_)
     return;
   if (AttemptActive_) {
@@ -1188,7 +1188,8 @@
     recordFailure(routing::FailureKind::Cancelled);
     ++PossibleRuns_;
   }
-  finish("caller_gone", 0);
+  ConnectionEnd_ = net::toString(End);
+  finish(net::isCallersOwn(End) ? "caller_gone" : "answer_lost", 0);
 }
 
 void ForwardedRequest::refuse(RefusalReason Reason,
@@ -1244,10 +1245,23 @@
          std::min(DeliveredTokens, RequestMetadata_.MaxOutputTokens_);
 }
 
+void ForwardedRequest::logIfUndelivered() {
+  Exchange_->onHangup([Id = RequestMetadata_.AttemptId_,
+                       &Metrics = Context_.Metrics_](net::ConnectionEnd End) {
+    if (End == net::ConnectionEnd::Aborted)
+      return;
+    Metrics.count("answers_undelivered", "connection_end",
+                  std::string(net::toString(End)));
+    observe::log(LogLevel::Info, "answer_undelivered",
+                 {{"request", Id}, {"connection_end", net::toString(End)}});
+  });
+}
+
 void ForwardedRequest::finish(std::string_view Outcome, unsigned Status) {
   if (std::exchange(Finished_, true))
     return;
   dropSuccessor(routing::FailureKind::Cancelled);
+  logIfUndelivered();
   base::TimePoint Now = Context_.Loop_.now();
   if (Loan_)
     Context_.Loans_->settle(*Loan_, spentTokens());
@@ -1263,6 +1277,7 @@
        {"account", Account_ ? std::string_view(Account_->Account_.str()) : ""},
        {"version", View_ ? View_->Version_ : 0},
        {"outcome", Outcome},
+       {"connection_end", ConnectionEnd_},
        {"status", Status},
        {"sends", Sends_},
        {"runs", PossibleRuns_},
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -228,7 +228,10 @@
   /// on, and the other one may refuse.
   void checkStall(base::TimePoint Now);
 
-  void onCallerDisconnect();
+  /// Handles the end of the caller's connection before a final response.
+  void onConnectionEnd(net::ConnectionEnd End);
+  /// Has it logged if the connection ends before the final response is out.
+  void logIfUndelivered();
   /// Ends the request with an error response, or aborts the stream if one has
   /// started.
   void refuse(base::RefusalReason Reason,
@@ -299,6 +302,8 @@
   std::string HeldEvents_;
   std::shared_ptr<ResponseCharge> Charge_;
   std::optional<base::TimePoint> FirstByteAt_;
+  /// How the caller's connection ended; empty while it stands.
+  std::string_view ConnectionEnd_;
   bool Finished_ = false;
 };
 
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -93,7 +93,8 @@
             [this](net::HttpRequest Request,
                    const std::shared_ptr<net::HttpExchange> &Exchange) {
               Requests_.push_back(std::move(Request));
-              Exchange->onHangup([this] { ++Disconnects_; });
+              Exchange->onHangup(
+                  [this](net::ConnectionEnd) { ++Disconnects_; });
               reply(Exchange);
             })
             .value());
--- a/daemons/router/api.cpp
+++ b/daemons/router/api.cpp
@@ -301,7 +301,8 @@
   Events.OnError_ = [this, Request, Out](const CallerError &Error) {
     refuse(Error, Request, Out);
   };
-  Out->onHangup([this, Request] { Router_.callerGone(Request); });
+  Out->onHangup(
+      [this, Request](net::ConnectionEnd) { Router_.callerGone(Request); });
   Router_.submit(std::move(Wanted), std::move(Events));
 }
 
@@ -340,7 +341,8 @@
     Out->write("data: " + errorBody(Error) + "\n\n");
     Out->endStream();
   };
-  Out->onHangup([this, Request] { Router_.callerGone(Request); });
+  Out->onHangup(
+      [this, Request](net::ConnectionEnd) { Router_.callerGone(Request); });
   Out->onDrain([this, Request, Weak = std::weak_ptr<net::HttpExchange>(Out)] {
     auto Kept = Weak.lock();
     if (Kept && Kept->buffered() <= MaxBufferedBytes / 2)
--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -33,6 +33,22 @@
   std::chrono::milliseconds AbortGrace_{250};
 };
 
+/// How a caller's connection ended before an answer was out.
+enum class ConnectionEnd {
+  CallerClosed,  ///< The caller closed it, or at least its sending side.
+  CallerReset,   ///< The caller reset it, or it was lost.
+  Aborted,       ///< The application called HttpExchange::abortStream().
+  AnswerFailed,  ///< This server could not send the answer.
+  TimedOut,      ///< A time limit of this server passed.
+  ServerStopped, ///< The server was destroyed.
+};
+
+/// Returns the name used in logs and metrics, such as "caller_closed".
+std::string_view toString(ConnectionEnd End);
+
+/// Whether the caller, or the way to it, ended the connection.
+bool isCallersOwn(ConnectionEnd End);
+
 /// One request in progress and its answer. Shared by the server and the
 /// application; safe to use after the caller has hung up.
 class HttpExchange {
@@ -54,8 +70,8 @@
   virtual std::size_t buffered() const = 0;
   /// True once the caller is gone or the answer is out.
   virtual bool closed() const = 0;
-  /// \p Callback runs once if the caller goes away before the answer is out.
-  virtual void onHangup(std::function<void()> Callback) = 0;
+  /// \p Callback runs once if the connection ends before the answer is out.
+  virtual void onHangup(std::function<void(ConnectionEnd)> Callback) = 0;
   /// \p Callback runs whenever the connection has taken buffered bytes.
   virtual void onDrain(std::function<void()> Callback) = 0;
 };
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -12,6 +12,29 @@
 
 namespace camphorwind::net {
 
+std::string_view toString(ConnectionEnd End) {
+  switch (End) {
+  case ConnectionEnd::CallerClosed:
+    return "caller_closed";
+  case ConnectionEnd::CallerReset:
+    return "caller_reset";
+  case ConnectionEnd::Aborted:
+    return "aborted";
+  case ConnectionEnd::AnswerFailed:
+    return "answer_failed";
+  case ConnectionEnd::TimedOut:
+    return "timed_out";
+  case ConnectionEnd::ServerStopped:
+    return "server_stopped";
+  }
+  return "unknown";
+}
+
+bool isCallersOwn(ConnectionEnd End) {
+  return End == ConnectionEnd::CallerClosed ||
+         End == ConnectionEnd::CallerReset;
+}
+
 namespace detail {
 
 /// Most bytes read over the limit of a body only to answer 413.
@@ -117,7 +140,7 @@
 
   std::size_t buffered() const override { return Buffer_.size() - Sent_; }
   bool closed() const override { return Connection_ == nullptr; }
-  void onHangup(std::function<void()> Callback) override {
+  void onHangup(std::function<void(ConnectionEnd)> Callback) override {
     OnHangup_ = std::move(Callback);
   }
   void onDrain(std::function<void()> Callback) override {
@@ -202,7 +225,10 @@
   }
 
   /// Called when libmicrohttpd is done with the request.
-  void complete(bool Delivered) {
+  void complete(MHD_RequestTerminationCode Code) {
+    const bool Delivered = Code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+    const ConnectionEnd End =
+        Delivered ? ConnectionEnd::Aborted : connectionEnd(Code);
     HangupWatcher_.stop();
     BodyTimer_.stop();
     AbortTimer_.stop();
@@ -211,7 +237,7 @@
     OnDrain_ = nullptr;
     auto Callback = std::exchange(OnHangup_, nullptr);
     if (!Delivered && Callback)
-      Callback();
+      Callback(End);
   }
 
 private:
@@ -221,6 +247,31 @@
     return MHD_YES;
   }
 
+  /// Returns how the connection of an answer that is not out has ended.
+  ConnectionEnd connectionEnd(MHD_RequestTerminationCode Code) const {
+    if (Aborted_)
+      return ConnectionEnd::Aborted;
+    switch (Code) {
+    case MHD_REQUEST_TERMINATED_TIMEOUT_REACHED:
+      return ConnectionEnd::TimedOut;
+    case MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN:
+      return ConnectionEnd::ServerStopped;
+    case MHD_REQUEST_TERMINATED_CLIENT_ABORT:
+      return ConnectionEnd::CallerClosed;
+    case MHD_REQUEST_TERMINATED_READ_ERROR:
+      return ConnectionEnd::CallerReset;
+    default:
+      break;
+    }
+    // libmicrohttpd has one code for its own errors and for a peer that left.
+    char Byte = 0;
+    const ssize_t Got = ::recv(fd(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (Got == 0)
+      return ConnectionEnd::CallerClosed;
+    const bool Open = Got > 0 || errno == EAGAIN || errno == EINTR;
+    return Open ? ConnectionEnd::AnswerFailed : ConnectionEnd::CallerReset;
+  }
+
   HttpAnswer errorAnswer(unsigned Status) const {
     return Core_->ErrorAnswer_ ? Core_->ErrorAnswer_(Status)
                                : HttpAnswer{Status, {}, ""};
@@ -298,7 +349,8 @@
     auto Self = shared_from_this();
     abortStream();
     if (auto Callback = std::exchange(OnHangup_, nullptr))
-      Callback();
+      Callback(Got == 0 ? ConnectionEnd::CallerClosed
+                        : ConnectionEnd::CallerReset);
   }
 
   void addHeaders(MHD_Response *Response) const {
@@ -419,7 +471,7 @@
   std::size_t Discarded_ = 0;
   bool CloseAfter_ = false;
   bool DrainPosted_ = false;
-  std::function<void()> OnHangup_;
+  std::function<void(ConnectionEnd)> OnHangup_;
   std::function<void()> OnDrain_;
 };
 
@@ -495,7 +547,7 @@
   if (!Self)
     return;
   *State = nullptr;
-  (*Self)->complete(Code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+  (*Self)->complete(Code);
   delete Self;
 }
 
--- a/libs/net/test/http-client-test.cpp
+++ b/libs/net/test/http-client-test.cpp
@@ -167,7 +167,7 @@
   OnRequest_ = [this] {
     Kept_->startStream(200, {});
     Kept_->write("first");
-    Kept_->onHangup([this] { Owner_->stop(); });
+    Kept_->onHangup([this](ConnectionEnd) { Owner_->stop(); });
   };
   HttpCallId Id = 0;
   HttpCallEvents Events;
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -305,7 +305,7 @@
   HttpCallId Id = 0;
   serve([&](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
     Kept = std::move(Exchange);
-    Kept->onHangup([&] {
+    Kept->onHangup([&](ConnectionEnd) {
       HungUp = true;
       Owner_->stop();
     });
--- a/standins/src/engine.cpp
+++ b/standins/src/engine.cpp
@@ -148,7 +148,7 @@
   Added->Id_ = Id;
   Added->Request_ = std::move(*Parsed);
   Added->Exchange_ = Exchange;
-  Exchange->onHangup([this, Id] { hangUp(Id); });
+  Exchange->onHangup([this, Id](net::ConnectionEnd) { hangUp(Id); });
   std::int64_t Priority = Added->Request_.Priority_;
   Jobs_.emplace(Id, std::move(Added));
   ++Counts_.Started_;
