--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -2165,5 +2165,54 @@
   EXPECT_EQ(Status.Reserved_, base::Tokens(0));
 }
 
+struct CallerHeadCase {
+  std::string_view Name_;
+  RequestKind Kind_ = RequestKind::Idempotent;
+  std::size_t RequestBytes_ = 0;
+  std::size_t AnswerBytes_ = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const CallerHeadCase &Value) {
+  return Out << Value.Name_;
+}
+
+class CallerHeadTest : public DirectRouterTest,
+                       public testing::WithParamInterface<CallerHeadCase> {};
+
+/// Guards against requests that run and whose callers get no byte, because the
+/// heads of request and answer are large together.
+TEST_P(CallerHeadTest, AnswerOfASoundEndpointReachesItsCaller) {
+  const CallerHeadCase &Case = GetParam();
+  configure(Case.Kind_);
+  bool Streams = Case.Kind_ == RequestKind::Stream;
+  std::string Body = Streams ? AllEvents : "whole";
+  addScriptedEndpoint(
+      {{"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Signature: s\r\n" +
+        std::string(Streams ? "Content-Type: text/event-stream\r\n" : "") +
+        "X-Filler: " + std::string(Case.AnswerBytes_, 'y') +
+        "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+        Body}});
+  net::OriginRequest Call = makeCall();
+  Call.Headers_.add("X-Filler", std::string(Case.RequestBytes_, 'x'));
+  CallerResponse Response = fetch(std::move(Call));
+  EXPECT_EQ(Response.Status_, 200u);
+  EXPECT_EQ(Response.Body_, Body);
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(Router_->metrics().text().find("answers_undelivered"),
+            std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Heads, CallerHeadTest,
+    testing::Values(
+        CallerHeadCase{"idempotent_16000", Idempotent, 14'800, 16'000},
+        CallerHeadCase{"idempotent_24000", Idempotent, 10'000, 24'000},
+        CallerHeadCase{"idempotent_34000", Idempotent, 0, 34'000},
+        CallerHeadCase{"non_idempotent_34000", NonIdempotent, 0, 34'000},
+        CallerHeadCase{"stream_24000", Stream, 10'000, 24'000},
+        CallerHeadCase{"stream_34000", Stream, 0, 34'000},
+        CallerHeadCase{"stream_60000", Stream, 28'000, 60'000}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 } // namespace
 } // namespace camphorwind::direct
