Deliver answers whatever the sizes of the heads

Callers' requests ran at sound endpoints and got no byte: their connections ended, and the log said caller_gone. libmicrohttpd keeps the head of the request, the head of the answer and what the caller has sent ahead in one block of 32 KB for each connection. What does not fit is not sent, and the connection is closed. An answer's head of 34,000 bytes met every request.

HttpServer now parses requests with Boost.Beast on the process's loop, as OriginClient does for answers. Buffers grow within the stated limits; every end of a connection is the server's own decision or the caller's, and is named as such. A larger block would have moved the limit: a library that may end a connection by itself can't be told from a caller that left.

Behind the same class: while a request waited, one byte of the next one ended the watch for its caller's leaving (CallerThatLeavesBehindANextRequestIsNoticed), and an answer that is ready now reaches a caller that has closed only its sending side.

--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -9,13 +9,14 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
-/// HTTP/1.1 server by libmicrohttpd on the process's loop.
+/// HTTP/1.1 server on the process's loop. Messages are parsed by Boost.Beast.
 namespace camphorwind::net {
 
 /// Limits of one server.
@@ -24,19 +25,24 @@
   /// very much larger.
   std::size_t BodyBytes_ = 4UL * 1024 * 1024;
   /// A larger header section is answered 431.
-  std::size_t HeaderBytes_ = 32UL * 1024;
+  std::uint32_t HeaderBytes_ = 32U * 1024;
   unsigned Connections_ = 4096;
-  /// An idle connection is closed after this time.
-  std::chrono::seconds IdleTimeout_{75};
+  /// An idle connection is closed after this time, and one whose caller takes
+  /// nothing of its answer.
+  std::chrono::milliseconds IdleTimeout_{75000};
+  /// A request whose header section is not whole after this time is answered
+  /// 408.
+  std::chrono::milliseconds HeadTimeout_{75000};
   /// A caller that has not taken an aborted stream after this time is
   /// disconnected with a reset.
   std::chrono::milliseconds AbortGrace_{250};
 };
 
-/// How a caller's connection ended before an answer was out.
+/// How a caller's connection ended.
 enum class ConnectionEnd {
   CallerClosed,  ///< The caller closed it, or at least its sending side.
   CallerReset,   ///< The caller reset it, or it was lost.
+  Answered,      ///< It was closed behind an answer, as announced.
   Aborted,       ///< The application called HttpExchange::abortStream().
   AnswerFailed,  ///< This server could not send the answer.
   TimedOut,      ///< A time limit of this server passed.
@@ -79,7 +85,8 @@
 using HttpHandler =
     std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
 
-/// Makes the answers that the server gives by itself; \p Status is 413 or 408.
+/// Makes the answers that the server gives by itself; \p Status is 400, 408,
+/// 413 or 431.
 using HttpErrorAnswer = std::function<HttpAnswer(unsigned Status)>;
 
 /// Returns how long the caller may take to send the body that belongs to
--- a/libs/net/src/response-parser.cpp
+++ b/libs/net/src/response-parser.cpp
@@ -1,6 +1,5 @@
 #include "response-parser.h"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -16,8 +15,6 @@
 using ErrorCode = boost::beast::error_code;
 using TextView = boost::beast::string_view;
 
-std::string_view view(TextView Text) { return {Text.data(), Text.size()}; }
-
 /// Adapts Beast's virtual callbacks to ResponseParser's.
 class BeastParser final : public http::basic_parser<false> {
 public:
@@ -78,25 +75,11 @@
 ResponseParser::~ResponseParser() = default;
 
 ParseState ResponseParser::put(std::string &Input) {
-  auto &Parser = Inner_->Parser_;
-  std::size_t Used = 0;
-  while (Used < Input.size() && !Parser.is_done()) {
-    ErrorCode Error;
-    std::size_t Taken = Parser.put(
-        boost::asio::const_buffer(Input.data() + Used, Input.size() - Used),
-        Error);
-    Used += Taken;
-    if (Error == http::error::need_more)
-      break;
-    if (Error) {
-      Error_ = Error.message();
-      return ParseState::Failed;
-    }
-    if (Taken == 0)
-      break;
-  }
-  Input.erase(0, Used);
-  return Parser.is_done() ? ParseState::Complete : ParseState::NeedMore;
+  ErrorCode Error;
+  ParseState State = putInput(Inner_->Parser_, Input, Error);
+  if (State == ParseState::Failed)
+    Error_ = Error.message();
+  return State;
 }
 
 ParseState ResponseParser::putEnd() {
--- a/libs/net/src/response-parser.h
+++ b/libs/net/src/response-parser.h
@@ -2,6 +2,7 @@
 #define CAMPHORWIND_NET_RESPONSE_PARSER_H
 
 #include "camphorwind/net/origin-client.h"
+#include "parse.h"
 
 #include <functional>
 #include <memory>
@@ -10,14 +11,6 @@
 
 namespace camphorwind::net::detail {
 
-/// What a parser found in the bytes it was given.
-enum class ParseState {
-  NeedMore,
-  Complete,
-  /// The bytes are no HTTP answer, or the input ended inside one.
-  Failed,
-};
-
 /// Parses one HTTP answer as its bytes arrive.
 class ResponseParser {
 public:
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -7,12 +7,15 @@
 
 #include <cerrno>
 #include <chrono>
+#include <memory>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
 #include <thread>
 #include <utility>
+#include <vector>
 
 using namespace camphorwind::base;
 using namespace camphorwind::net;
@@ -385,4 +388,275 @@
   EXPECT_TRUE(Closed);
 }
 
+/// A caller that sends bytes and reads what comes back.
+class RawCaller {
+public:
+  RawCaller(Loop &Owner, const Address &Server)
+      : Owner_(Owner), Socket_(std::move(startConnect(Server).value())),
+        Watcher_(Owner, [this](bool, bool Writable) { onReady(Writable); }) {
+    Watcher_.start(Socket_.fd(), Interest::Read);
+  }
+
+  void send(std::string Bytes) {
+    Unsent_ += Bytes;
+    Watcher_.start(Socket_.fd(), Interest::ReadWrite);
+  }
+  void closeSending() { ::shutdown(Socket_.fd(), SHUT_WR); }
+  void close() {
+    Watcher_.stop();
+    Socket_.close();
+  }
+  /// Runs the loop until \p Text was read or the connection has ended.
+  bool waitFor(std::string Text) {
+    Awaited_ = std::move(Text);
+    Searched_ = 0;
+    Found_ = false;
+    search();
+    if (!Found_ && !Ended_)
+      Owner_.run();
+    return Found_;
+  }
+
+  const std::string &received() const { return Received_; }
+
+private:
+  void search() {
+    Found_ = Received_.find(Awaited_, Searched_) != std::string::npos;
+    if (Received_.size() >= Awaited_.size())
+      Searched_ = Received_.size() - Awaited_.size();
+  }
+
+  void onReady(bool Writable) {
+    if (Writable && !Unsent_.empty()) {
+      ssize_t Size =
+          ::send(Socket_.fd(), Unsent_.data(), Unsent_.size(), MSG_NOSIGNAL);
+      if (Size > 0)
+        Unsent_.erase(0, static_cast<std::size_t>(Size));
+      if (Unsent_.empty())
+        Watcher_.start(Socket_.fd(), Interest::Read);
+    }
+    char Buffer[65536];
+    ssize_t Got = ::recv(Socket_.fd(), Buffer, sizeof(Buffer), MSG_DONTWAIT);
+    if (Got > 0)
+      Received_.append(Buffer, static_cast<std::size_t>(Got));
+    else if (Got == 0 || (errno != EAGAIN && errno != EINTR)) {
+      Ended_ = true;
+      Watcher_.stop();
+    }
+    search();
+    if (!Awaited_.empty() && (Ended_ || Found_))
+      Owner_.stop();
+  }
+
+  Loop &Owner_;
+  Socket Socket_;
+  FdWatcher Watcher_;
+  std::string Unsent_;
+  std::string Received_;
+  std::string Awaited_;
+  std::size_t Searched_ = 0;
+  bool Found_ = false;
+  bool Ended_ = false;
+};
+
+/// Returns a request whose head has \p Bytes bytes.
+std::string requestOfSize(std::size_t Bytes) {
+  std::string Head = "GET / HTTP/1.1\r\nHost: h\r\nX-Filler: \r\n\r\n";
+  constexpr std::string_view End = "\r\n\r\n";
+  if (Head.size() < Bytes)
+    Head.insert(Head.size() - End.size(),
+                std::string(Bytes - Head.size(), 'x'));
+  return Head;
+}
+
+struct HeadSizesCase {
+  std::string_view Name_;
+  std::size_t RequestBytes_ = 0;
+  std::size_t AnswerBytes_ = 0;
+  /// Bytes of the next request that arrive with this one.
+  std::size_t NextBytes_ = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const HeadSizesCase &Value) {
+  return Out << Value.Name_;
+}
+
+class HttpServerHeadTest : public HttpServerTest,
+                           public testing::WithParamInterface<HeadSizesCase> {
+protected:
+  std::string request() const {
+    return requestOfSize(GetParam().RequestBytes_) +
+           requestOfSize(GetParam().NextBytes_ + 100)
+               .substr(0, GetParam().NextBytes_);
+  }
+  HttpHeaders headers() const {
+    return {{"X-Filler", std::string(GetParam().AnswerBytes_, 'y')}};
+  }
+};
+
+/// Guards against connections that are closed without an answer because the
+/// heads of the request and of its answer do not fit into one block of memory.
+TEST_P(HttpServerHeadTest, AnswerIsDeliveredWhateverTheSizesOfTheHeads) {
+  serve([this](HttpRequest, const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchange->onHangup([](ConnectionEnd End) {
+      ADD_FAILURE() << "not delivered: " << toString(End);
+    });
+    Exchange->respond({200, headers(), "whole"});
+  });
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send(request());
+  EXPECT_TRUE(Caller.waitFor("\r\n\r\nwhole"));
+  EXPECT_TRUE(Caller.received().starts_with("HTTP/1.1 200 "));
+}
+
+/// Guards against the same for streams that begin later.
+TEST_P(HttpServerHeadTest, StreamIsDeliveredWhateverTheSizesOfTheHeads) {
+  std::shared_ptr<HttpExchange> Kept;
+  Timer Later(*Owner_, [&] {
+    Kept->startStream(200, headers());
+    Kept->write("event");
+    Kept->endStream();
+  });
+  serve([&](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
+    Kept = std::move(Exchange);
+    Kept->onHangup([](ConnectionEnd End) {
+      ADD_FAILURE() << "not delivered: " << toString(End);
+    });
+    Later.start(std::chrono::milliseconds(20));
+  });
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send(request());
+  EXPECT_TRUE(Caller.waitFor("5\r\nevent\r\n0\r\n\r\n"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Sizes, HttpServerHeadTest,
+    testing::Values(HeadSizesCase{"small", 200, 200},
+                    HeadSizesCase{"large_request", 14'800, 16'000},
+                    HeadSizesCase{"both_large", 10'000, 24'000},
+                    HeadSizesCase{"large_answer", 2'000, 30'000},
+                    HeadSizesCase{"larger_answer", 200, 64'000},
+                    HeadSizesCase{"begun_next_request", 200, 24'000, 9'000},
+                    HeadSizesCase{"large_begun_next_request", 9'000, 16'000,
+                                  20'000}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
+/// Guards against callers whose leaving goes unnoticed because they have sent a
+/// part of their next request.
+TEST_F(HttpServerTest, CallerThatLeavesBehindANextRequestIsNoticed) {
+  std::shared_ptr<HttpExchange> Kept;
+  std::optional<ConnectionEnd> Ended;
+  serve([&](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
+    Kept = std::move(Exchange);
+    Kept->onHangup([&](ConnectionEnd End) {
+      Ended = End;
+      Owner_->stop();
+    });
+  });
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send(requestOfSize(100));
+  Timer SendMore(*Owner_, [&] { Caller.send("GET /next"); });
+  SendMore.start(std::chrono::milliseconds(30));
+  Timer Leave(*Owner_, [&] { Caller.close(); });
+  Leave.start(std::chrono::milliseconds(60));
+  Timer Limit(*Owner_, [this] { Owner_->stop(); });
+  Limit.start(std::chrono::seconds(2));
+  Owner_->run();
+  ASSERT_TRUE(Ended);
+  EXPECT_TRUE(isCallersOwn(*Ended));
+}
+
+/// Guards against answers that are ready and not delivered because their caller
+/// has closed its sending side.
+TEST_F(HttpServerTest, AnswerThatIsReadyReachesACallerThatSendsNoMore) {
+  constexpr std::size_t LargerThanSocketBuffers = 16UL * 1024 * 1024;
+  serve([](HttpRequest, const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchange->respond(
+        {200, {}, std::string(LargerThanSocketBuffers, 'x') + "end"});
+  });
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send(requestOfSize(100));
+  ASSERT_TRUE(Caller.waitFor("HTTP/1.1 200 "));
+  Caller.closeSending();
+  EXPECT_TRUE(Caller.waitFor("xend"));
+}
+
+/// Guards against a request that is answered before the one ahead of it, or not
+/// at all, because both arrived together.
+TEST_F(HttpServerTest, RequestsThatArriveTogetherAreAnsweredInOrder) {
+  std::vector<std::shared_ptr<HttpExchange>> Kept;
+  Timer Later(*Owner_, [&] {
+    Kept.back()->respond({200, {}, "answer" + std::to_string(Kept.size())});
+  });
+  serve([&](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
+    Kept.push_back(std::move(Exchange));
+    Later.start(std::chrono::milliseconds(10));
+  });
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send(requestOfSize(100) + requestOfSize(200) + requestOfSize(100));
+  ASSERT_TRUE(Caller.waitFor("answer3"));
+  EXPECT_LT(Caller.received().find("answer1"),
+            Caller.received().find("answer2"));
+}
+
+struct RefusalCase {
+  std::string_view Name_;
+  std::string Bytes_;
+  std::string_view Status_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const RefusalCase &Value) {
+  return Out << Value.Name_;
+}
+
+class HttpServerRefusalTest : public HttpServerTest,
+                              public testing::WithParamInterface<RefusalCase> {
+};
+
+/// Guards against requests that end somewhere else for the endpoint than for
+/// the server, and against heads without bound.
+TEST_P(HttpServerRefusalTest, UnclearRequestIsRefusedAndItsConnectionClosed) {
+  serve([](HttpRequest, const std::shared_ptr<HttpExchange> &) {
+    ADD_FAILURE() << "the handler got the request";
+  });
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send(GetParam().Bytes_ + requestOfSize(100));
+  EXPECT_TRUE(Caller.waitFor("Connection: close"));
+  EXPECT_TRUE(Caller.received().starts_with(GetParam().Status_))
+      << Caller.received();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, HttpServerRefusalTest,
+    testing::Values(
+        RefusalCase{"no_request", "nothing\r\n\r\n", "HTTP/1.1 400 "},
+        RefusalCase{"two_lengths",
+                    "POST / HTTP/1.1\r\nContent-Length: 4\r\n"
+                    "Content-Length: 5\r\n\r\nbody",
+                    "HTTP/1.1 400 "},
+        RefusalCase{"length_and_chunks",
+                    "POST / HTTP/1.1\r\nContent-Length: 4\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                    "HTTP/1.1 400 "},
+        RefusalCase{"other_coding",
+                    "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked"
+                    "\r\n\r\n0\r\n\r\n",
+                    "HTTP/1.1 400 "},
+        RefusalCase{"endless_head",
+                    "GET / HTTP/1.1\r\nX: " + std::string(70'000, 'x'),
+                    "HTTP/1.1 431 "},
+        RefusalCase{"many_headers",
+                    [] {
+                      std::string Head = "GET / HTTP/1.1\r\n";
+                      for (int Line = 0; Line < 10'000; ++Line)
+                        Head += "X-Line: y\r\n";
+                      return Head;
+                    }(),
+                    "HTTP/1.1 431 "},
+        RefusalCase{"endless_chunk_header",
+                    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" +
+                        std::string(70'000, 'x'),
+                    "HTTP/1.1 400 "}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 } // namespace
