Enforce a configuration's limits on callers' heads and idle time

Callers that relied on max_header_bytes = 65,536 got 431 for heads above 31 KB (measured: 18 of 18), and connections closed after 75 s whatever idle_timeout_ms said, so that a longer limit made callers meet the router's close. Limits were constants of the server; of a configuration only the body's was taken over, and header_timeout_ms was not read at all.

HttpServer::setLimits() changes them while the server runs. A connection that is idle when the limit falls keeps the one its caller knows. Both routers map all early refusals (400, 408, 413, 431) to their reasons.

Failed before: HeaderLimitTest within.

--- a/daemons/common/refusals.cpp
+++ b/daemons/common/refusals.cpp
@@ -33,7 +33,7 @@
   case RefusalReason::MethodNotAllowed:
     return {405, "This path does not take that method."};
   case RefusalReason::BodyTooLate:
-    return {408, "The request body was not whole in time."};
+    return {408, "The request was not whole in time."};
   case RefusalReason::AnswerNotKept:
     return {410, "The request has been answered; the answer is not kept."};
   case RefusalReason::BodyTooLarge:
@@ -118,6 +118,22 @@
 
 unsigned httpStatusOf(RefusalReason Reason) { return describe(Reason).Status_; }
 
+RefusalReason reasonOfUnread(unsigned Status) {
+  constexpr unsigned BadRequest = 400;
+  constexpr unsigned RequestTimeout = 408;
+  constexpr unsigned HeadersTooLarge = 431;
+  switch (Status) {
+  case BadRequest:
+    return RefusalReason::MalformedRequest;
+  case RequestTimeout:
+    return RefusalReason::BodyTooLate;
+  case HeadersTooLarge:
+    return RefusalReason::HeadersTooLarge;
+  default:
+    return RefusalReason::BodyTooLarge;
+  }
+}
+
 std::string errorBody(const CallerError &Error) {
   ReasonText Text = describe(Error.Reason_);
   std::string Message = Text.Message_;
--- a/daemons/common/refusals.h
+++ b/daemons/common/refusals.h
@@ -26,6 +26,10 @@
 /// Returns the HTTP status for \p Reason.
 unsigned httpStatusOf(base::RefusalReason Reason);
 
+/// Returns the reason for \p Status if a server refuses a request with it that
+/// it has not read whole: 400, 408, 413 or 431.
+base::RefusalReason reasonOfUnread(unsigned Status);
+
 /// Returns the OpenAI error object, with `code` and `ran`, as JSON text.
 std::string errorBody(const CallerError &Error);
 
--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -29,17 +29,27 @@
 constexpr double MaxConnectionShare = 0.8;
 /// Minimum number of connections of one router to one endpoint.
 constexpr std::size_t MinConnections = 4;
-/// Longer than any idle timeout that the configuration can set for callers'
-/// connections.
-constexpr auto CallerIdleTimeout = 75s;
 /// A process that does not begin two turns of its loop within this time has
 /// paused.
 constexpr auto MaxTurn = 300ms;
 /// Time before the end of the process at which requests that are still open are
 /// answered.
 constexpr auto FinalAnswerTime = 200ms;
-constexpr std::size_t MaxHeaderBytes = 32UL * 1024;
-constexpr std::size_t MaxReadinessHeaderBytes = 8UL * 1024;
+constexpr std::uint32_t MaxReadinessHeaderBytes = 8U * 1024;
+/// Longest request line, which counts beside the limit on headers.
+constexpr std::size_t MaxRequestLineBytes = 8UL * 1024;
+
+/// Returns the limits of the callers' server under a configuration.
+net::HttpServerLimits serverLimits(const RequestLimits &Stated) {
+  net::HttpServerLimits Limits;
+  Limits.BodyBytes_ = Stated.BodyBytes_;
+  Limits.HeaderBytes_ = std::max(
+      Limits.HeaderBytes_,
+      static_cast<std::uint32_t>(Stated.HeaderBytes_ + MaxRequestLineBytes));
+  Limits.HeadTimeout_ = Stated.HeadTimeout_;
+  Limits.IdleTimeout_ = Stated.IdleTimeout_;
+  return Limits;
+}
 
 } // namespace
 
@@ -218,13 +228,10 @@
                     Found->Timeout_);
   }
 
-  /// Makes the answer to a request whose body was not accepted.
-  net::HttpAnswer bodyErrorAnswer(unsigned Status) {
+  /// Makes the answer to a request that was not read whole.
+  net::HttpAnswer unreadErrorAnswer(unsigned Status) {
     daemons::CallerError Error;
-    constexpr unsigned RequestTimeout = 408;
-    Error.Reason_ = Status == RequestTimeout
-                        ? base::RefusalReason::BodyTooLate
-                        : base::RefusalReason::BodyTooLarge;
+    Error.Reason_ = daemons::reasonOfUnread(Status);
     Context_.Metrics_.countRefusal(Error.Reason_, Error.Ran_);
     observe::log(LogLevel::Info, "request_body_refused",
                  {{"reason", base::toString(Error.Reason_)}});
@@ -314,7 +321,7 @@
       if (Each.Prepaid_)
         Context_.Escrow_.setBudget(Each.Account_, *Each.Prepaid_);
     if (CallerServer_)
-      CallerServer_->setBodyLimit(Current.Limits_.BodyBytes_);
+      CallerServer_->setLimits(serverLimits(Current.Limits_));
     observe::log(LogLevel::Info, "configuration_in_force",
                  {{"version", Current.Version_},
                   {"before", PreviousVersion},
@@ -408,8 +415,6 @@
       std::make_unique<Impl>(EventLoop, std::move(Settings), std::move(Escrow));
   Impl *Implementation = Inner.get();
   net::HttpServerLimits Limits;
-  Limits.IdleTimeout_ = CallerIdleTimeout;
-  Limits.HeaderBytes_ = MaxHeaderBytes;
   BOOST_OUTCOME_TRY(
       Server,
       net::HttpServer::create(
@@ -419,7 +424,7 @@
             Implementation->handle(std::move(Request), Exchange);
           },
           [Implementation](unsigned Status) {
-            return Implementation->bodyErrorAnswer(Status);
+            return Implementation->unreadErrorAnswer(Status);
           }));
   Implementation->CallerServer_ = std::move(Server);
   Implementation->CallerServer_->setBodyTimeLimit(
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -87,9 +87,11 @@
 public:
   FakeEndpoint(net::Loop &EventLoop, Script Behaviors)
       : Loop_(EventLoop), Script_(std::move(Behaviors)) {
+    net::HttpServerLimits Limits;
+    Limits.HeaderBytes_ = 1024U * 1024;
     Server_ = std::move(
         net::HttpServer::create(
-            EventLoop, {"127.0.0.1", 0}, {},
+            EventLoop, {"127.0.0.1", 0}, Limits,
             [this](net::HttpRequest Request,
                    const std::shared_ptr<net::HttpExchange> &Exchange) {
               Requests_.push_back(std::move(Request));
@@ -334,6 +336,7 @@
     Result->addAccount({Shop, std::nullopt, base::Tokens(PrepaidTokens)},
                        {"secret"});
     Result->Pools_[base::PoolId("pool")] = {base::PoolId("pool")};
+    Result->Limits_ = Limits_;
     Router_->offerView(std::move(Result));
     Router_->endpoints().replace({}, Loop_->now());
     syncBudgets();
@@ -436,6 +439,8 @@
 
   std::unique_ptr<net::Loop> Loop_;
   net::OriginClient Caller_;
+  /// Limits of the configurations that configure() makes.
+  RequestLimits Limits_;
   budget::test::FakeTable Table_;
   Script Script_ = std::make_shared<std::deque<EndpointBehavior>>();
   std::vector<std::unique_ptr<FakeEndpoint>> Endpoints_;
@@ -2214,5 +2219,38 @@
         CallerHeadCase{"stream_60000", Stream, 28'000, 60'000}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+struct HeaderLimitCase {
+  std::string_view Name_;
+  std::size_t Limit_ = 0;
+  std::size_t RequestBytes_ = 0;
+  unsigned Status_ = 200;
+};
+
+std::ostream &operator<<(std::ostream &Out, const HeaderLimitCase &Value) {
+  return Out << Value.Name_;
+}
+
+class HeaderLimitTest : public DirectRouterTest,
+                        public testing::WithParamInterface<HeaderLimitCase> {};
+
+/// Guards against proper requests that get 431 because a configuration's limit
+/// on headers is not the one in force.
+TEST_P(HeaderLimitTest, LimitOfTheConfigurationIsInForce) {
+  Limits_.HeaderBytes_ = GetParam().Limit_;
+  configure(Idempotent);
+  addEndpoint();
+  net::OriginRequest Call = makeCall();
+  Call.Headers_.add("X-Filler", std::string(GetParam().RequestBytes_, 'x'));
+  EXPECT_EQ(fetch(std::move(Call)).Status_, GetParam().Status_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Limits, HeaderLimitTest,
+    testing::Values(HeaderLimitCase{"within", 65'536, 65'000},
+                    HeaderLimitCase{"half", 65'536, 31'000},
+                    HeaderLimitCase{"beyond", 65'536, 100'000, 431},
+                    HeaderLimitCase{"beyond_a_low_one", 1'000, 60'000, 431}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 } // namespace
 } // namespace camphorwind::direct
--- a/daemons/router/api.cpp
+++ b/daemons/router/api.cpp
@@ -75,14 +75,14 @@
                                        std::shared_ptr<net::HttpExchange> Out) {
     Self->handle(Request, Out);
   };
-  auto TooLarge = [Self = Created.get()](unsigned) {
-    Self->Router_.metrics().countRefusal(RefusalReason::BodyTooLarge,
-                                         base::Ran::No);
-    return errorAnswer(refusal(RefusalReason::BodyTooLarge));
+  auto Unread = [Self = Created.get()](unsigned Status) {
+    RefusalReason Reason = daemons::reasonOfUnread(Status);
+    Self->Router_.metrics().countRefusal(Reason, base::Ran::No);
+    return errorAnswer(refusal(Reason));
   };
   BOOST_OUTCOME_TRY(Server,
                     net::HttpServer::create(Owner, Local, {}, std::move(Handle),
-                                            std::move(TooLarge)));
+                                            std::move(Unread)));
   Created->Server_ = std::move(Server);
   return Created;
 }
--- a/libs/direct/include/camphorwind/direct/view.h
+++ b/libs/direct/include/camphorwind/direct/view.h
@@ -101,6 +101,9 @@
 struct RequestLimits {
   std::size_t HeaderBytes_ = 16UL * 1024;
   std::size_t BodyBytes_ = 4UL * 1024 * 1024;
+  /// Time for a whole header section, from its first byte.
+  std::chrono::milliseconds HeadTimeout_{5000};
+  /// Time for which callers may leave a connection without a request.
   std::chrono::milliseconds IdleTimeout_{15000};
 };
 
--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -113,8 +113,10 @@
   /// Stops accepting connections; requests in progress go on, and their
   /// connections close after the answer. Idle ones close within seconds.
   void stopAccepting();
-  /// Changes the largest request body, for requests that start from now on.
-  void setBodyLimit(std::size_t Bytes);
+  /// Changes the limits for requests and connections that begin from now on.
+  /// A connection that is idle keeps the longer idle timeout, which its caller
+  /// may still count on.
+  void setLimits(const HttpServerLimits &Limits);
   /// Sets the limit after which a request without its whole body is answered
   /// 408. The handler never sees such a request.
   void setBodyTimeLimit(BodyTimeLimit Limit);
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -167,8 +167,8 @@
 
 void HttpServer::closeAfterAnswers() { Inner_->Core_.Closing_ = true; }
 
-void HttpServer::setBodyLimit(std::size_t Bytes) {
-  Inner_->Core_.Limits_.BodyBytes_ = Bytes;
+void HttpServer::setLimits(const HttpServerLimits &Limits) {
+  Inner_->Core_.Limits_ = Limits;
 }
 
 void HttpServer::setBodyTimeLimit(BodyTimeLimit Limit) {
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -599,6 +599,65 @@
             Caller.received().find("answer2"));
 }
 
+/// Times of a connection's first and second request, and limits between.
+struct IdleCase {
+  std::string_view Name_;
+  std::chrono::milliseconds Before_;
+  std::chrono::milliseconds After_;
+  bool IsKept_ = true;
+};
+
+std::ostream &operator<<(std::ostream &Out, const IdleCase &Value) {
+  return Out << Value.Name_;
+}
+
+class HttpServerIdleTest : public HttpServerTest,
+                           public testing::WithParamInterface<IdleCase> {};
+
+/// Guards against callers that reuse a connection for as long as they were
+/// told, and meet its close.
+TEST_P(HttpServerIdleTest, IdleConnectionIsKeptForTheLongerTimeout) {
+  const IdleCase &Case = GetParam();
+  serve([](HttpRequest, const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchange->respond({200, {}, "first"});
+  });
+  HttpServerLimits Limits;
+  Limits.IdleTimeout_ = Case.Before_;
+  Server_->setLimits(Limits);
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send(requestOfSize(100));
+  ASSERT_TRUE(Caller.waitFor("first"));
+  Limits.IdleTimeout_ = Case.After_;
+  Server_->setLimits(Limits);
+  Timer Later(*Owner_, [&] { Caller.send(requestOfSize(100)); });
+  Later.start(std::chrono::milliseconds(1200));
+  EXPECT_EQ(Caller.waitFor("firstHTTP/1.1 200"), Case.IsKept_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Changes, HttpServerIdleTest,
+    testing::Values(IdleCase{"raised", std::chrono::milliseconds(300),
+                             std::chrono::minutes(1)},
+                    IdleCase{"lowered", std::chrono::minutes(1),
+                             std::chrono::milliseconds(300)},
+                    IdleCase{"short", std::chrono::milliseconds(300),
+                             std::chrono::milliseconds(300), false}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
+/// Guards against callers that hold a connection with a head that never ends.
+TEST_F(HttpServerTest, HeadThatIsNotWholeInTimeIs408) {
+  serve([](HttpRequest, const std::shared_ptr<HttpExchange> &) {
+    ADD_FAILURE() << "the handler got a request without its whole head";
+  });
+  HttpServerLimits Limits;
+  Limits.HeadTimeout_ = std::chrono::milliseconds(100);
+  Server_->setLimits(Limits);
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send("GET / HTTP/1.1\r\nHost: h\r\n");
+  EXPECT_TRUE(Caller.waitFor("Connection: close"));
+  EXPECT_TRUE(Caller.received().starts_with("HTTP/1.1 408 "));
+}
+
 struct RefusalCase {
   std::string_view Name_;
   std::string Bytes_;
