Close the longest idle connection for a new one

With 4,096 connections open, most of them idle, a router took no new one and said that it is ready. At the limit, or when the system has no room for another descriptor, the connection that is idle for longest makes room; one with unread input is not idle. A router without room for descriptors no longer polls its listener without end.

Failed before: LongestIdleConnectionMakesRoomForANewOne.

--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -26,6 +26,8 @@
   std::size_t BodyBytes_ = 4UL * 1024 * 1024;
   /// A larger header section is answered 431.
   std::uint32_t HeaderBytes_ = 32U * 1024;
+  /// Beyond it, or when the system has no room for more, the connection that
+  /// is idle for longest makes room for a new one.
   unsigned Connections_ = 4096;
   /// An idle connection is closed after this time, and one whose caller takes
   /// nothing of its answer.
@@ -46,6 +48,7 @@
   Aborted,       ///< The application called HttpExchange::abortStream().
   AnswerFailed,  ///< This server could not send the answer.
   TimedOut,      ///< A time limit of this server passed.
+  Evicted,       ///< It was idle, and made room for a new one.
   ServerStopped, ///< The server was destroyed.
 };
 
--- a/libs/net/include/camphorwind/net/socket.h
+++ b/libs/net/include/camphorwind/net/socket.h
@@ -37,7 +37,8 @@
 base::Result<Socket, base::IoError> startConnect(const Address &Remote);
 
 /// Accepts one connection, non-blocking and without Nagle's delay. Fails with
-/// IoErrorKind::Closed when none is waiting.
+/// IoErrorKind::Closed when none is waiting, IoErrorKind::ResourceLimit when
+/// the system has no room for one.
 base::Result<Socket, base::IoError> acceptFrom(int ListeningFd);
 
 /// Returns the address a socket is bound to.
--- a/libs/net/src/http-connection.cpp
+++ b/libs/net/src/http-connection.cpp
@@ -205,6 +205,8 @@
 }
 
 bool Connection::hasUnreadInput() const {
+  if (!Input_.empty())
+    return true;
   pollfd Query{Socket_.fd(), POLLIN, 0};
   return ::poll(&Query, 1, 0) > 0;
 }
--- a/libs/net/src/http-connection.h
+++ b/libs/net/src/http-connection.h
@@ -32,6 +32,10 @@
   ServerCore &operator=(const ServerCore &) = delete;
 
   void acceptSome();
+  /// Closes the connection that is idle for longest. Returns false if none is.
+  bool evictIdle();
+  /// Accepts no more until a connection has ended, or for a moment.
+  void pauseAccepting();
   /// Accepts again if that was paused for want of room.
   void resumeAccepting();
   void adopt(Socket Accepted);
@@ -78,7 +82,7 @@
   /// Closes the connection. The application of a request in progress is told
   /// \p How.
   void end(ConnectionEnd How);
-  /// Whether data, or an end of data, waits in the socket.
+  /// Whether input waits to be parsed, or data or an end of data in the socket.
   bool hasUnreadInput() const;
   /// When the connection became idle, or the first byte of a head was read.
   base::TimePoint waitingSince() const { return WaitingSince_; }
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/chrono.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,8 @@
     return "answer_failed";
   case ConnectionEnd::TimedOut:
     return "timed_out";
+  case ConnectionEnd::Evicted:
+    return "evicted";
   case ConnectionEnd::ServerStopped:
     return "server_stopped";
   }
@@ -68,17 +71,39 @@
 void ServerCore::acceptSome() {
   for (int Accepted = 0; Accepted < MaxAcceptsPerTurn; ++Accepted) {
     if (Connections_.size() >= Limits_.Connections_) {
-      AcceptPaused_ = true;
-      AcceptWatcher_.stop();
-      return;
+      // Only the first round is sure that a connection waits.
+      if (Accepted > 0)
+        return;
+      if (!evictIdle())
+        return pauseAccepting();
     }
     auto Next = acceptFrom(Listening_.fd());
-    if (!Next)
-      return;
-    adopt(std::move(Next).value());
+    if (Next) {
+      adopt(std::move(Next).value());
+      continue;
+    }
+    if (Next.error().Kind_ == base::IoErrorKind::ResourceLimit && !evictIdle())
+      pauseAccepting();
+    return;
   }
 }
 
+bool ServerCore::evictIdle() {
+  auto Longest = std::find_if(Idle_.begin(), Idle_.end(), [](auto *Each) {
+    return !Each->hasUnreadInput();
+  });
+  if (Longest == Idle_.end())
+    return false;
+  (*Longest)->end(ConnectionEnd::Evicted);
+  return true;
+}
+
+void ServerCore::pauseAccepting() {
+  AcceptPaused_ = true;
+  AcceptWatcher_.stop();
+  scheduleSweep();
+}
+
 void ServerCore::resumeAccepting() {
   if (!Listening_.valid() || !std::exchange(AcceptPaused_, false))
     return;
@@ -101,10 +126,8 @@
       Since = std::max(Since, *StoppedAt_);
       Limit = IdleTimeoutAfterStop;
     }
-    if (Now - Since < Limit)
-      break;
     // A request that has arrived meanwhile is served.
-    if (!Each->hasUnreadInput())
+    if (Now - Since >= Limit && !Each->hasUnreadInput())
       Expired.push_back(Each);
   }
   for (Connection *Each : Expired)
@@ -114,6 +137,7 @@
     auto Late = ReadingHead_.front()->shared_from_this();
     Late->refuse(RequestTimeout);
   }
+  resumeAccepting();
   if (!Idle_.empty() || !ReadingHead_.empty())
     scheduleSweep();
 }
--- a/libs/net/src/socket.cpp
+++ b/libs/net/src/socket.cpp
@@ -122,8 +122,13 @@
 base::Result<Socket, base::IoError> acceptFrom(int ListeningFd) {
   Socket Accepted(
       ::accept4(ListeningFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-  if (!Accepted.valid())
-    return base::failure(systemError(base::IoErrorKind::Closed, "accept"));
+  if (!Accepted.valid()) {
+    bool NoRoom = errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+                  errno == ENOMEM;
+    return base::failure(systemError(NoRoom ? base::IoErrorKind::ResourceLimit
+                                            : base::IoErrorKind::Closed,
+                                     "accept"));
+  }
   disableNagle(Accepted.fd());
   return Accepted;
 }
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -352,6 +352,8 @@
 
 TEST_P(HttpServerTargetTest, IsKeptAsSent) {
   serve([](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
+    EXPECT_EQ(Request.Path_,
+              Request.Target_.substr(0, Request.Target_.find('?')));
     Exchange->respond({200, {}, Request.Target_});
   });
   auto Got = fetch(call(GetParam().Target_));
@@ -412,8 +414,10 @@
     Searched_ = 0;
     Found_ = false;
     search();
+    Waiting_ = true;
     if (!Found_ && !Ended_)
       Owner_.run();
+    Waiting_ = false;
     return Found_;
   }
 
@@ -444,7 +448,7 @@
       Watcher_.stop();
     }
     search();
-    if (!Awaited_.empty() && (Ended_ || Found_))
+    if (Waiting_ && (Ended_ || Found_))
       Owner_.stop();
   }
 
@@ -456,6 +460,7 @@
   std::string Awaited_;
   std::size_t Searched_ = 0;
   bool Found_ = false;
+  bool Waiting_ = false;
   bool Ended_ = false;
 };
 
@@ -644,6 +649,46 @@
                              std::chrono::milliseconds(300), false}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against a server that is full of idle connections and takes no new
+/// one.
+TEST_F(HttpServerTest, LongestIdleConnectionMakesRoomForANewOne) {
+  serve([](HttpRequest, const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchange->respond({200, {}, "ok"});
+  });
+  HttpServerLimits Limits;
+  Limits.Connections_ = 3;
+  Server_->setLimits(Limits);
+  std::vector<std::unique_ptr<RawCaller>> Callers;
+  for (int Number = 0; Number < 5; ++Number) {
+    Callers.push_back(std::make_unique<RawCaller>(*Owner_, Server_->address()));
+    Callers.back()->send(requestOfSize(100));
+    ASSERT_TRUE(Callers.back()->waitFor("ok")) << Number;
+  }
+  Callers[2]->send(requestOfSize(100));
+  EXPECT_TRUE(Callers[2]->waitFor("okHTTP/1.1 200 "));
+  Callers[0]->send(requestOfSize(100));
+  EXPECT_FALSE(Callers[0]->waitFor("okHTTP/1.1 200 "));
+}
+
+/// Guards against requests in progress that are cut for a new connection.
+TEST_F(HttpServerTest, RequestInProgressIsNotCutForANewConnection) {
+  std::shared_ptr<HttpExchange> Kept;
+  Timer Later(*Owner_, [&] { Kept->respond({200, {}, "ok"}); });
+  serve([&](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
+    Kept = std::move(Exchange);
+    Later.start(std::chrono::milliseconds(100));
+  });
+  HttpServerLimits Limits;
+  Limits.Connections_ = 1;
+  Server_->setLimits(Limits);
+  RawCaller First(*Owner_, Server_->address());
+  First.send(requestOfSize(100));
+  RawCaller Second(*Owner_, Server_->address());
+  Second.send(requestOfSize(100));
+  EXPECT_TRUE(First.waitFor("ok"));
+  EXPECT_TRUE(Second.waitFor("ok"));
+}
+
 /// Guards against callers that hold a connection with a head that never ends.
 TEST_F(HttpServerTest, HeadThatIsNotWholeInTimeIs408) {
   serve([](HttpRequest, const std::shared_ptr<HttpExchange> &) {
