Limit stalled bodies and answers apart from idle connections

A body keeps the limit that was in force when it began; a head is not late while more of it waits in the socket.

BodyThatStallsWithoutATimeLimitIs408 and IdleTimeoutDoesNotLimitTheTimeForAnAnswer pass; they were not run on the code before, which lacks the limit.

--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -29,12 +29,15 @@
   /// Beyond it, or when the system has no room for more, the connection that
   /// is idle for longest makes room for a new one.
   unsigned Connections_ = 4096;
-  /// An idle connection is closed after this time, and one whose caller takes
-  /// nothing of its answer.
+  /// An idle connection is closed after this time.
   std::chrono::milliseconds IdleTimeout_{75000};
   /// A request whose header section is not whole after this time is answered
   /// 408.
   std::chrono::milliseconds HeadTimeout_{75000};
+  /// A caller that takes nothing of its answer for this time is disconnected;
+  /// one that sends nothing of its body, without a BodyTimeLimit, is answered
+  /// 408.
+  std::chrono::milliseconds StallTimeout_{75000};
   /// A caller that has not taken an aborted stream after this time is
   /// disconnected with a reset.
   std::chrono::milliseconds AbortGrace_{250};
@@ -123,7 +126,8 @@
   /// Sets the limit after which a request without its whole body is answered
   /// 408. The handler never sees such a request.
   void setBodyTimeLimit(BodyTimeLimit Limit);
-  /// Number of requests whose answer is not out.
+  /// Number of requests whose answer is not out, or behind which a connection
+  /// is still being closed.
   std::size_t inProgress() const;
 
 private:
--- a/libs/net/src/http-connection.cpp
+++ b/libs/net/src/http-connection.cpp
@@ -205,8 +205,10 @@
 }
 
 bool Connection::hasUnreadInput() const {
-  if (!Input_.empty())
-    return true;
+  return !Input_.empty() || isReadable();
+}
+
+bool Connection::isReadable() const {
   pollfd Query{Socket_.fd(), POLLIN, 0};
   return ::poll(&Query, 1, 0) > 0;
 }
@@ -309,13 +311,12 @@
 
 bool Connection::mustRefuseUnread(
     std::optional<std::uint64_t> BodyBytes) const {
-  const std::size_t Limit = Core_.Limits_.BodyBytes_;
-  if (!BodyBytes || *BodyBytes <= Limit)
+  if (!BodyBytes || *BodyBytes <= BodyLimit_)
     return false;
   // A caller that sends without asking first reads no answer before the end of
   // its body, and loses the answer if the connection closes earlier.
   return Request_.Headers_.find("Expect").has_value() ||
-         *BodyBytes - Limit > MaxDiscardedBytes;
+         *BodyBytes - BodyLimit_ > MaxDiscardedBytes;
 }
 
 bool Connection::onHead(RequestHead Head) {
@@ -334,8 +335,11 @@
   HeadOnly_ = Request_.Method_ == "HEAD";
   LastRequest_ = !Head.KeepAlive_;
   CloseAfter_ = LastRequest_;
-  TooLarge_ = Head.BodyBytes_.value_or(0) > Core_.Limits_.BodyBytes_;
+  BodyLimit_ = Core_.Limits_.BodyBytes_;
+  TooLarge_ = Head.BodyBytes_.value_or(0) > BodyLimit_;
   DiscardedBytes_ = 0;
+  BodyLimitAsked_ = false;
+  HasBodyDeadline_ = false;
   if (mustRefuseUnread(Head.BodyBytes_)) {
     RefusalStatus_ = ContentTooLarge;
     return false;
@@ -350,24 +354,29 @@
 }
 
 bool Connection::onBody(std::string_view Data) {
-  const std::size_t Limit = Core_.Limits_.BodyBytes_;
-  TooLarge_ = TooLarge_ || Request_.Body_.size() + Data.size() > Limit;
+  TooLarge_ = TooLarge_ || Request_.Body_.size() + Data.size() > BodyLimit_;
   if (!TooLarge_) {
     Request_.Body_.append(Data);
     return true;
   }
   DiscardedBytes_ += std::exchange(Request_.Body_, {}).size() + Data.size();
-  if (DiscardedBytes_ <= Limit + MaxDiscardedBytes)
+  if (DiscardedBytes_ <= BodyLimit_ + MaxDiscardedBytes)
     return true;
   RefusalStatus_ = ContentTooLarge;
   return false;
 }
 
 void Connection::limitBodyTime() {
-  if (Phase_ != Phase::ReadingBody || Timer_.active() || !Core_.BodyTimeLimit_)
+  if (Phase_ != Phase::ReadingBody || HasBodyDeadline_)
     return;
-  if (auto Limit = Core_.BodyTimeLimit_(Request_))
-    Timer_.start(Request_.arrivedAt() + *Limit - Core_.Owner_.now());
+  if (!std::exchange(BodyLimitAsked_, true) && Core_.BodyTimeLimit_) {
+    if (auto Limit = Core_.BodyTimeLimit_(Request_)) {
+      HasBodyDeadline_ = true;
+      Timer_.start(Request_.arrivedAt() + *Limit - Core_.Owner_.now());
+      return;
+    }
+  }
+  Timer_.start(Core_.Limits_.StallTimeout_);
 }
 
 void Connection::callHandler() {
@@ -393,8 +402,7 @@
 
 void Connection::setPhase(Phase Next) {
   auto IsInProgress = [](Phase Each) {
-    return Each == Phase::ReadingHead || Each == Phase::ReadingBody ||
-           Each == Phase::Answering;
+    return Each != Phase::Idle && Each != Phase::Closed;
   };
   if (IsInProgress(Phase_))
     --Core_.InProgress_;
@@ -532,7 +540,7 @@
     Output_.erase(0, std::exchange(Sent_, 0));
   bool MayStall = !Output_.empty() && Phase_ == Phase::Answering && !Aborted_;
   if (MayStall && (Progress || !Timer_.active()))
-    Timer_.start(Core_.Limits_.IdleTimeout_);
+    Timer_.start(Core_.Limits_.StallTimeout_);
   else if (Phase_ == Phase::Answering && !Aborted_)
     Timer_.stop();
   watch();
@@ -572,7 +580,7 @@
   Streaming_ = false;
   Chunked_ = false;
   if (CloseAfter_) {
-    if (EndOfData_ || (LastRequest_ && Input_.empty()))
+    if (EndOfData_ || (LastRequest_ && !hasUnreadInput()))
       end(ConnectionEnd::Answered);
     else
       linger(ConnectionEnd::Answered);
--- a/libs/net/src/http-connection.h
+++ b/libs/net/src/http-connection.h
@@ -64,7 +64,8 @@
   ConnectionList Idle_;
   /// Connections of which a part of a head was read, the oldest first.
   ConnectionList ReadingHead_;
-  /// Connections with a request whose answer is not out.
+  /// Connections with a request whose answer is not out, or whose caller may not
+  /// have read it.
   std::size_t InProgress_ = 0;
   std::array<char, 16UL * 1024> ReadBuffer_{};
   std::time_t DateAt_ = 0;
@@ -84,6 +85,8 @@
   void end(ConnectionEnd How);
   /// Whether input waits to be parsed, or data or an end of data in the socket.
   bool hasUnreadInput() const;
+  /// Whether data, or an end of data, waits in the socket.
+  bool isReadable() const;
   /// When the connection became idle, or the first byte of a head was read.
   base::TimePoint waitingSince() const { return WaitingSince_; }
   /// Longest idle time that the caller may count on: limits may have changed
@@ -163,8 +166,13 @@
 
   HttpRequest Request_;
   std::shared_ptr<Exchange> Exchange_;
+  /// Limit that was in force when the request began.
+  std::size_t BodyLimit_ = 0;
   bool TooLarge_ = false;
   std::size_t DiscardedBytes_ = 0;
+  bool BodyLimitAsked_ = false;
+  /// Timer_ limits the time for the whole body, not a pause in it.
+  bool HasBodyDeadline_ = false;
   /// Status of a refusal that was decided while parsing; 0 for none.
   unsigned RefusalStatus_ = 0;
   bool IsHttp10_ = false;
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -132,11 +132,13 @@
   }
   for (Connection *Each : Expired)
     Each->end(ConnectionEnd::TimedOut);
-  while (!ReadingHead_.empty() &&
-         Now - ReadingHead_.front()->waitingSince() >= Limits_.HeadTimeout_) {
-    auto Late = ReadingHead_.front()->shared_from_this();
-    Late->refuse(RequestTimeout);
-  }
+  std::vector<std::shared_ptr<Connection>> Late;
+  for (Connection *Each : ReadingHead_)
+    if (Now - Each->waitingSince() >= Limits_.HeadTimeout_ &&
+        !Each->isReadable())
+      Late.push_back(Each->shared_from_this());
+  for (const auto &Each : Late)
+    Each->refuse(RequestTimeout);
   resumeAccepting();
   if (!Idle_.empty() || !ReadingHead_.empty())
     scheduleSweep();
@@ -206,8 +208,14 @@
   Core.StoppedAt_ = Core.Owner_.now();
   Core.Closing_ = true;
   // What stands in the queue would be reset by closing the listener.
-  while (auto Waiting = acceptFrom(Core.Listening_.fd()))
-    Core.adopt(std::move(Waiting).value());
+  while (true) {
+    auto Waiting = acceptFrom(Core.Listening_.fd());
+    if (Waiting)
+      Core.adopt(std::move(Waiting).value());
+    else if (Waiting.error().Kind_ != base::IoErrorKind::ResourceLimit ||
+             !Core.evictIdle())
+      break;
+  }
   Core.AcceptWatcher_.stop();
   Core.Listening_.close();
   Core.scheduleSweep();
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -403,6 +403,8 @@
     Unsent_ += Bytes;
     Watcher_.start(Socket_.fd(), Interest::ReadWrite);
   }
+  void pause() { Watcher_.stop(); }
+  void resume() { Watcher_.start(Socket_.fd(), Interest::Read); }
   void closeSending() { ::shutdown(Socket_.fd(), SHUT_WR); }
   void close() {
     Watcher_.stop();
@@ -649,6 +651,43 @@
                              std::chrono::milliseconds(300), false}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against callers that vanish in the middle of a body and hold their
+/// connections for good.
+TEST_F(HttpServerTest, BodyThatStallsWithoutATimeLimitIs408) {
+  serve([](HttpRequest, const std::shared_ptr<HttpExchange> &) {
+    ADD_FAILURE() << "the handler got a request without its whole body";
+  });
+  HttpServerLimits Limits;
+  Limits.StallTimeout_ = std::chrono::milliseconds(100);
+  Server_->setLimits(Limits);
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+  EXPECT_TRUE(Caller.waitFor("Connection: close"));
+  EXPECT_TRUE(Caller.received().starts_with("HTTP/1.1 408 "));
+}
+
+/// Guards against answers that are cut because their callers may be idle for a
+/// short time only.
+TEST_F(HttpServerTest, IdleTimeoutDoesNotLimitTheTimeForAnAnswer) {
+  constexpr std::size_t LargerThanSocketBuffers = 16UL * 1024 * 1024;
+  serve([](HttpRequest, const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchange->respond(
+        {200, {}, std::string(LargerThanSocketBuffers, 'x') + "end"});
+  });
+  HttpServerLimits Limits;
+  Limits.IdleTimeout_ = std::chrono::milliseconds(1);
+  Server_->setLimits(Limits);
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send(requestOfSize(100));
+  ASSERT_TRUE(Caller.waitFor("HTTP/1.1 200 "));
+  Timer Resume(*Owner_, [this] { Owner_->stop(); });
+  Caller.pause();
+  Resume.start(std::chrono::milliseconds(400));
+  Owner_->run();
+  Caller.resume();
+  EXPECT_TRUE(Caller.waitFor("xend"));
+}
+
 /// Guards against a server that is full of idle connections and takes no new
 /// one.
 TEST_F(HttpServerTest, LongestIdleConnectionMakesRoomForANewOne) {
