Read what has arrived before a stop ends the process

When a router stopped accepting with nothing in progress it ended in the same turn. Connections taken from the listener's queue, and kept ones whose next request had arrived, were reset unread; so were callers that had not read their last answer yet.

Failed before: RequestThatWaitsWhenTheRouterStopsAcceptingIsAnswered.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -32,6 +32,9 @@
 /// A process that does not begin two turns of its loop within this time has
 /// paused.
 constexpr auto MaxTurn = 300ms;
+/// Time for which requests that had arrived when the router stopped accepting
+/// are read.
+constexpr auto FinalReadTime = 100ms;
 /// Time before the end of the process at which requests that are still open are
 /// answered.
 constexpr auto FinalAnswerTime = 200ms;
@@ -376,7 +379,8 @@
     if (Now >= *Context_.EndsAt_ - FinalAnswerTime)
       for (const auto &Each : Context_.openRequests())
         Each->onProcessEnd();
-    bool Idle = RefusesNew && Context_.OpenRequests_.empty() &&
+    bool Idle = RefusesNew && Now >= *Context_.RefusesFrom_ + FinalReadTime &&
+                Context_.OpenRequests_.empty() &&
                 CallerServer_->inProgress() == 0;
     if ((Idle && Context_.Escrow_.closed()) || Now >= *Context_.EndsAt_) {
       if (auto Callback = std::exchange(OnStopped_, nullptr))
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -2252,5 +2252,28 @@
                     HeaderLimitCase{"beyond_a_low_one", 1'000, 60'000, 431}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against requests that are reset unread because the router ends in the
+/// turn in which it stops accepting.
+TEST_F(DirectRouterTest,
+       RequestThatWaitsWhenTheRouterStopsAcceptingIsAnswered) {
+  Router_->stop([this] { Loop_->stop(); });
+  net::Socket Caller;
+  net::Timer Send(*Loop_, [&] {
+    constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    Caller = std::move(net::startConnect(Listen_).value());
+    EXPECT_EQ(::send(Caller.fd(), Request.data(), Request.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(Request.size()));
+    // New requests are refused from here on.
+    std::this_thread::sleep_for(100ms);
+  });
+  Send.start(50ms);
+  Loop_->run();
+  char Buffer[4096];
+  ssize_t Got = ::recv(Caller.fd(), Buffer, sizeof(Buffer), MSG_DONTWAIT);
+  ASSERT_GT(Got, 0);
+  EXPECT_TRUE(std::string_view(Buffer, static_cast<std::size_t>(Got))
+                  .starts_with("HTTP/1.1 503 "));
+}
+
 } // namespace
 } // namespace camphorwind::direct
--- a/libs/net/src/socket.cpp
+++ b/libs/net/src/socket.cpp
@@ -120,8 +120,11 @@
 }
 
 base::Result<Socket, base::IoError> acceptFrom(int ListeningFd) {
-  Socket Accepted(
-      ::accept4(ListeningFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  int Fd = -1;
+  do
+    Fd = ::accept4(ListeningFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  while (Fd < 0 && (errno == ECONNABORTED || errno == EINTR));
+  Socket Accepted(Fd);
   if (!Accepted.valid()) {
     bool NoRoom = errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
                   errno == ENOMEM;
