Log why a failed attempt was not repeated

request_ended did not tell whether the route, the time left, the router's sends or the pool's share of repeats forbade another attempt, so that requests that ended as link_lost behind a kept connection could only be guessed at.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -1042,10 +1042,24 @@
 
 bool ForwardedRequest::allowRetry(bool MayHaveArrived) {
   base::TimePoint Now = Context_.Loop_.now();
-  if (Sends_ >= MaxSends || remainingTime(Now) < MinTimeForRetry ||
-      (MayHaveArrived && !Context_.Quarantine_.mayRepeat(Suspects_)))
-    return false;
-  return !MayHaveArrived || Context_.poolState(Pool_).Retries_.trySpend(Now);
+  if (Sends_ >= MaxSends)
+    NoRepeat_ = "sends_used";
+  else if (remainingTime(Now) < MinTimeForRetry)
+    NoRepeat_ = "no_time_left";
+  else if (MayHaveArrived && !Context_.Quarantine_.mayRepeat(Suspects_))
+    NoRepeat_ = "suspect";
+  else if (MayHaveArrived && !Context_.poolState(Pool_).Retries_.trySpend(Now))
+    NoRepeat_ = "pool_limit";
+  else
+    NoRepeat_ = "";
+  return NoRepeat_.empty();
+}
+
+bool ForwardedRequest::mayRunAgain() {
+  if (Route_->repeatable() && PossibleRuns_ < Route_->MaxAttempts_)
+    return true;
+  NoRepeat_ = Route_->repeatable() ? "attempts_used" : "not_repeatable";
+  return false;
 }
 
 void ForwardedRequest::onNotExecuted(std::string_view Reason,
@@ -1055,9 +1069,8 @@
     promoteSuccessor();
     return;
   }
-  bool Allowed = PossibleRuns_ == 0 ||
-                 (Route_->repeatable() && PossibleRuns_ < Route_->MaxAttempts_);
-  if (Allowed && allowRetry(PossibleArrivals_ > 0)) {
+  if ((PossibleRuns_ == 0 || mayRunAgain()) &&
+      allowRetry(PossibleArrivals_ > 0)) {
     Context_.Metrics_.count("direct_retries", "reason", std::string(Reason));
     placeAttempt();
     return;
@@ -1075,8 +1088,7 @@
     promoteSuccessor();
     return;
   }
-  if (Route_->repeatable() && PossibleRuns_ < Route_->MaxAttempts_ &&
-      allowRetry(true)) {
+  if (mayRunAgain() && allowRetry(true)) {
     Context_.Metrics_.count("direct_retries", "reason", std::string(Reason));
     placeAttempt();
     return;
@@ -1281,6 +1293,7 @@
        {"status", Status},
        {"sends", Sends_},
        {"runs", PossibleRuns_},
+       {"no_repeat", NoRepeat_},
        {"lender", Loan_ ? Loan_->Lender_ : ""},
        {"endpoint", Attempt_.Placement_.Endpoint_.str()},
        {"events", EventStream_.eventCount()},
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -206,6 +206,8 @@
   /// retry uses up part of that limit. The caller checks the route's own
   /// limits.
   bool allowRetry(bool MayHaveArrived);
+  /// Whether the route permits another run beside those that may have happened.
+  bool mayRunAgain();
   /// Prompt of the request; empty if its route has none.
   std::span<const routing::PromptPart> prompt() const;
   /// Refuses the request if it, or a part of its prompt, is quarantined.
@@ -302,6 +304,8 @@
   std::string HeldEvents_;
   std::shared_ptr<ResponseCharge> Charge_;
   std::optional<base::TimePoint> FirstByteAt_;
+  /// Why the last failed attempt was not repeated; empty if it was.
+  std::string_view NoRepeat_;
   /// How the caller's connection ended; empty while it stands.
   std::string_view ConnectionEnd_;
   bool Finished_ = false;
