--- a/libs/net/src/http-connection.h
+++ b/libs/net/src/http-connection.h
@@ -64,8 +64,8 @@
   ConnectionList Idle_;
   /// Connections of which a part of a head was read, the oldest first.
   ConnectionList ReadingHead_;
-  /// Connections with a request whose answer is not out, or whose caller may not
-  /// have read it.
+  /// Connections with a request whose answer is not out, or whose caller may
+  /// not have read it.
   std::size_t InProgress_ = 0;
   std::array<char, 16UL * 1024> ReadBuffer_{};
   std::time_t DateAt_ = 0;
