Keep the time limit of a stalled stream over further events

A caller that took nothing of a stream was never disconnected by the server: each event that met a full socket stopped the limit or began it anew. Found by rereading the change.

Failed before: CallerThatTakesNothingOfAStreamIsDisconnected.

--- a/libs/net/src/http-connection.cpp
+++ b/libs/net/src/http-connection.cpp
@@ -541,7 +541,7 @@
   bool MayStall = !Output_.empty() && Phase_ == Phase::Answering && !Aborted_;
   if (MayStall && (Progress || !Timer_.active()))
     Timer_.start(Core_.Limits_.StallTimeout_);
-  else if (Phase_ == Phase::Answering && !Aborted_)
+  else if (!MayStall && Phase_ == Phase::Answering && !Aborted_)
     Timer_.stop();
   watch();
 }
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -688,6 +688,35 @@
   EXPECT_TRUE(Caller.waitFor("xend"));
 }
 
+/// Guards against streams whose callers take nothing and are kept, because each
+/// further event restarts the time limit.
+TEST_F(HttpServerTest, CallerThatTakesNothingOfAStreamIsDisconnected) {
+  std::shared_ptr<HttpExchange> Kept;
+  std::optional<ConnectionEnd> Ended;
+  Timer Writer(*Owner_, [&] { Kept->write(std::string(256UL * 1024, 'x')); });
+  serve([&](HttpRequest, std::shared_ptr<HttpExchange> Exchange) {
+    Kept = std::move(Exchange);
+    Kept->onHangup([&](ConnectionEnd End) {
+      Ended = End;
+      Owner_->stop();
+    });
+    Kept->startStream(200, {});
+    Writer.startRepeating(std::chrono::milliseconds(20));
+  });
+  HttpServerLimits Limits;
+  Limits.StallTimeout_ = std::chrono::milliseconds(200);
+  Server_->setLimits(Limits);
+  RawCaller Caller(*Owner_, Server_->address());
+  Caller.send(requestOfSize(100));
+  ASSERT_TRUE(Caller.waitFor("HTTP/1.1 200 "));
+  Caller.pause();
+  Timer Limit(*Owner_, [this] { Owner_->stop(); });
+  Limit.start(std::chrono::seconds(3));
+  Owner_->run();
+  ASSERT_TRUE(Ended);
+  EXPECT_EQ(*Ended, ConnectionEnd::TimedOut);
+}
+
 /// Guards against a server that is full of idle connections and takes no new
 /// one.
 TEST_F(HttpServerTest, LongestIdleConnectionMakesRoomForANewOne) {
