Count and name every end of a caller's connection

Connections that ended without a request in progress (idle, evicted, refused, left in the middle of a body) were recorded nowhere, and camphor-router took an answer that it failed to send for a caller that had left.

EndOfAnIdleConnectionIsCountedByWhoEndedIt passes; the counter did not exist before. 117 tests of the net library pass.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -431,6 +431,12 @@
             return Implementation->unreadErrorAnswer(Status);
           }));
   Implementation->CallerServer_ = std::move(Server);
+  Implementation->CallerServer_->onConnectionEnd(
+      [Implementation](net::ConnectionEnd End) {
+        Implementation->Context_.Metrics_.count("caller_connections_ended",
+                                                "connection_end",
+                                                std::string(toString(End)));
+      });
   Implementation->CallerServer_->setBodyTimeLimit(
       [Implementation](const net::HttpRequest &Head) {
         return Implementation->bodyTimeLimit(Head);
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -2275,5 +2275,18 @@
                   .starts_with("HTTP/1.1 503 "));
 }
 
+/// Guards against connections without a request whose end nothing records.
+TEST_F(DirectRouterTest, EndOfAnIdleConnectionIsCountedByWhoEndedIt) {
+  Limits_.IdleTimeout_ = 100ms;
+  configure(Idempotent);
+  net::Socket Idle = std::move(net::startConnect(Listen_).value());
+  { net::Socket Left = std::move(net::startConnect(Listen_).value()); }
+  wait(800ms);
+  std::string Metrics = Router_->metrics().text();
+  EXPECT_NE(Metrics.find("connection_end=\"timed_out\"} 1"), std::string::npos);
+  EXPECT_NE(Metrics.find("connection_end=\"caller_closed\"} 1"),
+            std::string::npos);
+}
+
 } // namespace
 } // namespace camphorwind::direct
--- a/daemons/router/api.cpp
+++ b/daemons/router/api.cpp
@@ -301,11 +301,21 @@
   Events.OnError_ = [this, Request, Out](const CallerError &Error) {
     refuse(Error, Request, Out);
   };
-  Out->onHangup(
-      [this, Request](net::ConnectionEnd) { Router_.callerGone(Request); });
+  Out->onHangup([this, Request](net::ConnectionEnd End) {
+    onConnectionEnd(Request, End);
+  });
   Router_.submit(std::move(Wanted), std::move(Events));
 }
 
+void Api::onConnectionEnd(const base::RequestId &Request,
+                          net::ConnectionEnd End) {
+  if (!net::isCallersOwn(End))
+    observe::log(
+        observe::LogLevel::Warning, "answer_undelivered",
+        {{"request", Request.str()}, {"connection_end", net::toString(End)}});
+  Router_.callerGone(Request);
+}
+
 void Api::submitStream(RoutedRequest Wanted, bool WantsUsage,
                        const Exchange &Out) {
   base::RequestId Request = Wanted.Submission_.Request_;
@@ -341,8 +351,9 @@
     Out->write("data: " + errorBody(Error) + "\n\n");
     Out->endStream();
   };
-  Out->onHangup(
-      [this, Request](net::ConnectionEnd) { Router_.callerGone(Request); });
+  Out->onHangup([this, Request](net::ConnectionEnd End) {
+    onConnectionEnd(Request, End);
+  });
   Out->onDrain([this, Request, Weak = std::weak_ptr<net::HttpExchange>(Out)] {
     auto Kept = Weak.lock();
     if (Kept && Kept->buffered() <= MaxBufferedBytes / 2)
--- a/daemons/router/api.h
+++ b/daemons/router/api.h
@@ -52,6 +52,8 @@
                                          RoutedRequest &Wanted);
   void refuse(const CallerError &Error, const base::RequestId &Request,
               const Exchange &Out);
+  /// Handles the end of a caller's connection before its answer was out.
+  void onConnectionEnd(const base::RequestId &Request, net::ConnectionEnd End);
   void submitWhole(RoutedRequest Wanted, const Exchange &Out);
   void submitStream(RoutedRequest Wanted, bool WantsUsage, const Exchange &Out);
 
--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -123,6 +123,9 @@
   /// A connection that is idle keeps the longer idle timeout, which its caller
   /// may still count on.
   void setLimits(const HttpServerLimits &Limits);
+  /// \p Callback runs for each connection that ends, whether or not a request
+  /// is in progress.
+  void onConnectionEnd(std::function<void(ConnectionEnd)> Callback);
   /// Sets the limit after which a request without its whole body is answered
   /// 408. The handler never sees such a request.
   void setBodyTimeLimit(BodyTimeLimit Limit);
--- a/libs/net/src/http-connection.cpp
+++ b/libs/net/src/http-connection.cpp
@@ -201,6 +201,8 @@
   Charge_.reset();
   Core_.Connections_.erase(this);
   Core_.resumeAccepting();
+  if (Core_.OnConnectionEnd_)
+    Core_.OnConnectionEnd_(How);
   release(How);
 }
 
--- a/libs/net/src/http-connection.h
+++ b/libs/net/src/http-connection.h
@@ -51,6 +51,7 @@
   HttpHandler Handler_;
   HttpErrorAnswer ErrorAnswer_;
   BodyTimeLimit BodyTimeLimit_;
+  std::function<void(ConnectionEnd)> OnConnectionEnd_;
   Socket Listening_;
   FdWatcher AcceptWatcher_;
   bool AcceptPaused_ = false;
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -197,6 +197,10 @@
   Inner_->Core_.Limits_ = Limits;
 }
 
+void HttpServer::onConnectionEnd(std::function<void(ConnectionEnd)> Callback) {
+  Inner_->Core_.OnConnectionEnd_ = std::move(Callback);
+}
+
 void HttpServer::setBodyTimeLimit(BodyTimeLimit Limit) {
   Inner_->Core_.BodyTimeLimit_ = std::move(Limit);
 }
