Read load headers with more than three figures

Endpoints that state a fourth figure, how long work takes at the moment, had their load headers rejected as malformed, so that routers placed requests without the load of other routers. At least three figures are read, and further ones ignored.

--- a/libs/direct/include/camphorwind/direct/headers.h
+++ b/libs/direct/include/camphorwind/direct/headers.h
@@ -46,7 +46,8 @@
   std::string Signature_ = "X-Signature";
   /// Present if the endpoint did not run the request.
   std::string NotExecuted_ = "X-Not-Executed";
-  /// Running requests, waiting requests and slots, such as `3,0,8`.
+  /// Running requests, waiting requests, slots, and optionally how long work
+  /// takes in percent of the usual time, such as `3,0,8` or `3,0,8,130`.
   std::string Load_ = "X-Load";
   /// `1` in all responses of an endpoint that is about to shut down.
   std::string Leaving_ = "X-Leaving";
@@ -104,6 +105,8 @@
   std::uint32_t Running_ = 0;
   std::uint32_t Waiting_ = 0;
   std::uint32_t Slots_ = 0;
+  /// How long work takes at the moment, in percent of the usual time.
+  std::optional<std::uint32_t> WorkTimePercent_;
 };
 
 /// Values from the headers of an endpoint's response.
--- a/libs/direct/src/headers.cpp
+++ b/libs/direct/src/headers.cpp
@@ -114,6 +114,23 @@
   return std::chrono::ceil<std::chrono::milliseconds>(Bounded);
 }
 
+/// Parses the figures of a load header. Figures behind those that are known
+/// are ignored.
+std::optional<EndpointLoad> parseLoad(std::string_view Text) {
+  std::vector<std::optional<std::uint32_t>> Figures;
+  forEachItem(Text, [&Figures](std::string_view Item) {
+    Figures.push_back(parseNumber<std::uint32_t>(Item));
+  });
+  constexpr std::size_t RequiredFigures = 3;
+  if (Figures.size() < RequiredFigures || !Figures[0] || !Figures[1] ||
+      !Figures[2])
+    return std::nullopt;
+  EndpointLoad Load{*Figures[0], *Figures[1], *Figures[2], std::nullopt};
+  if (Figures.size() > RequiredFigures)
+    Load.WorkTimePercent_ = Figures[RequiredFigures];
+  return Load;
+}
+
 std::optional<double> parseRequestLimit(std::string_view Text) {
   auto PerSecond = parseNumber<double>(Text);
   if (!PerSecond || !std::isfinite(*PerSecond) || *PerSecond < 0)
@@ -201,15 +218,8 @@
   Metadata.NotExecuted_ = Headers.find(Names.NotExecuted_).has_value();
   Metadata.AttemptId_ = Headers.find(Names.AttemptId_).value_or("");
   if (auto FieldValue = Headers.find(Names.Load_)) {
-    std::vector<std::uint32_t> Counts;
-    forEachItem(*FieldValue, [&Counts](std::string_view Item) {
-      if (auto Count = parseNumber<std::uint32_t>(Item))
-        Counts.push_back(*Count);
-    });
-    constexpr std::size_t LoadFieldCount = 3;
-    if (Counts.size() == LoadFieldCount)
-      Metadata.Load_ = EndpointLoad{Counts[0], Counts[1], Counts[2]};
-    else
+    Metadata.Load_ = parseLoad(*FieldValue);
+    if (!Metadata.Load_)
       Metadata.Malformed_.push_back(Names.Load_);
   }
   if (auto FieldValue = Headers.find(Names.Leaving_)) {
--- a/libs/direct/test/headers-test.cpp
+++ b/libs/direct/test/headers-test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <optional>
 #include <ostream>
 #include <string>
@@ -145,6 +146,46 @@
   EXPECT_TRUE(Metadata.Malformed_.empty());
 }
 
+struct LoadCase {
+  std::string Name_;
+  std::string Value_;
+  bool Readable_ = true;
+  std::optional<std::uint32_t> WorkTimePercent_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const LoadCase &Value) {
+  return Out << Value.Name_;
+}
+
+class LoadHeaderTest : public testing::TestWithParam<LoadCase> {};
+
+// Guards against placement without any load where endpoints state more figures
+// than this version knows.
+TEST_P(LoadHeaderTest, ReadsTheFiguresThatAreKnown) {
+  net::HttpHeaders Headers{{"X-Load", GetParam().Value_}};
+  ResponseMetadata Metadata = parseResponseHeaders(200, Headers, HeaderNames());
+  ASSERT_EQ(Metadata.Load_.has_value(), GetParam().Readable_);
+  EXPECT_EQ(Metadata.Malformed_.empty(), GetParam().Readable_);
+  if (!Metadata.Load_)
+    return;
+  EXPECT_EQ(Metadata.Load_->Running_, 3u);
+  EXPECT_EQ(Metadata.Load_->Waiting_, 1u);
+  EXPECT_EQ(Metadata.Load_->Slots_, 8u);
+  EXPECT_EQ(Metadata.Load_->WorkTimePercent_, GetParam().WorkTimePercent_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, LoadHeaderTest,
+    testing::Values(LoadCase{"three_figures", "3,1,8", true, std::nullopt},
+                    LoadCase{"work_time", "3,1,8,130", true, 130},
+                    LoadCase{"spaces", "3, 1, 8, 130", true, 130},
+                    LoadCase{"later_figures", "3,1,8,130,7,x", true, 130},
+                    LoadCase{"unreadable_work_time", "3,1,8,x", true,
+                             std::nullopt},
+                    LoadCase{"two_figures", "3,1", false, std::nullopt},
+                    LoadCase{"no_number", "3,x,8,130", false, std::nullopt}),
+    [](const auto &Info) { return Info.param.Name_; });
+
 /// A response header by which an endpoint states something about itself.
 struct EndpointStateCase {
   std::string Name_;
