Let prepaid tokens follow their callers in fleets of many routers

One transaction changed the total rows of up to 20 accounts, one changed total undoes all of it, and all routers change totals all the time: slices nearly stood still. Loans counted as demand of the lender, so that slices followed lenders. Bursts of 6,000 tokens covered no request.

Change: draws and returns are ordered by need, and the number of accounts in a transaction halves with each conflict. Loans count as demand of the borrower. From 16 routers on, bursts and changes of grants follow the size of requests, and routers that do not use an account return slices of less than one request.

--- a/daemons/direct/token-loans.cpp
+++ b/daemons/direct/token-loans.cpp
@@ -189,7 +189,7 @@
     const base::Result<net::HttpAnswer, net::HttpCallError> &Reply) {
   base::TimePoint Now = Loop_.now();
   const budget::LoanRequest &Request = Open->Request_;
-  TokenLoan Loan{Request.Id_, Lender, Request.Bound_};
+  TokenLoan Loan{Request.Id_, Request.Account_, Lender, Request.Bound_};
   auto Message = Reply && Reply.value().Status_ == StatusOk
                      ? parseObject(Reply.value().Body_)
                      : std::nullopt;
@@ -199,7 +199,7 @@
     Choice_.unreachable(Lender, Now);
     // The lender may have granted it. Another lender gets another id, so that
     // this settlement cannot end its loan.
-    settle(Loan, base::Tokens(0));
+    release(Loan);
     Open->Request_.Id_ = Process_ + "." + std::to_string(++NextId_);
     askNext(Open);
     return;
@@ -211,10 +211,12 @@
     return;
   }
   Metrics_.count("token_loans", "borrowed", "granted");
+  Escrow_.addBorrowed(Loan.Account_, Loan.Bound_, Now);
   Open->OnEnd_(std::move(Loan));
 }
 
 void TokenLoans::settle(const TokenLoan &Loan, base::Tokens Spent) {
+  Escrow_.settleBorrowed(Loan.Account_, Loan.Bound_, Spent, Loop_.now());
   sendSettlement({Loan, Spent});
 }
 
--- a/daemons/direct/token-loans.h
+++ b/daemons/direct/token-loans.h
@@ -24,6 +24,7 @@
 /// Tokens that another router has reserved for a request of this one.
 struct TokenLoan {
   std::string Id_;
+  base::AccountId Account_;
   /// Address of the router that granted it.
   std::string Lender_;
   base::Tokens Bound_;
@@ -82,6 +83,8 @@
   void askNext(std::shared_ptr<Inquiry> Open);
   void onReply(const std::shared_ptr<Inquiry> &Open, const std::string &Lender,
                const base::Result<net::HttpAnswer, net::HttpCallError> &Reply);
+  /// Releases a loan that may have been granted, but was not used.
+  void release(const TokenLoan &Loan) { sendSettlement({Loan, {}}); }
   void sendSettlement(Settlement Due);
 
   net::Loop &Loop_;
--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -174,6 +174,19 @@
   void settle(const base::AccountId &Account, base::Tokens Bound,
               base::Tokens Spent, base::TimePoint Now);
 
+  /// Reserves \p Bound tokens for a request of another router, which counts as
+  /// that router's demand. Every loan must end with settleLent().
+  bool lend(const base::AccountId &Account, base::Tokens Bound,
+            base::TimePoint Now);
+  void settleLent(const base::AccountId &Account, base::Tokens Bound,
+                  base::Tokens Spent);
+  /// Counts \p Bound tokens that another router has lent as demand of this one,
+  /// so that its slice grows. Every loan must end with settleBorrowed().
+  void addBorrowed(const base::AccountId &Account, base::Tokens Bound,
+                   base::TimePoint Now);
+  void settleBorrowed(const base::AccountId &Account, base::Tokens Bound,
+                      base::Tokens Spent, base::TimePoint Now);
+
   /// Returns the time until this router may spend \p Bound more tokens if the
   /// table stays unreachable and no request comes in between; nothing if its
   /// slice does not cover them.
@@ -181,6 +194,11 @@
   timeUntilCovered(const base::AccountId &Account, base::Tokens Bound,
                    base::TimePoint Now) const;
 
+  /// Whether only the ceiling keeps this router from spending \p Bound more
+  /// tokens, and the table answers, so that the next transaction raises it.
+  bool awaitsCeiling(const base::AccountId &Account, base::Tokens Bound,
+                     base::TimePoint Now) const;
+
   /// Whether the caller should read all rows now and pass them to onRows().
   bool needsRows(base::TimePoint Now) const;
   /// Takes the result of reading all rows. The read was sent at \p AskedAt and
--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -77,7 +77,8 @@
               {"at", Value.Checkpoint_.At_.count()},
               {"demand", Value.TokensPerSecond_},
               {"reserved", Value.Reserved_},
-              {"stranded", Value.Stranded_}}
+              {"stranded", Value.Stranded_},
+              {"bound", Value.TypicalBound_}}
       .dump();
 }
 
@@ -112,7 +113,9 @@
                    std::chrono::milliseconds(*At)},
                   integerField(*Parsed, "demand").value_or(0),
                   PartOfUsed("reserved"),
-                  PartOfUsed("stranded")};
+                  PartOfUsed("stranded"),
+                  std::max<std::int64_t>(
+                      0, integerField(*Parsed, "bound").value_or(0))};
 }
 
 std::string encodeTotal(std::int64_t Granted) {
--- a/libs/budget/src/escrow-rows.h
+++ b/libs/budget/src/escrow-rows.h
@@ -57,6 +57,8 @@
   /// Tokens among `Checkpoint_.Used_` that count as spent only because a
   /// previous process might have spent them.
   std::int64_t Stranded_ = 0;
+  /// Bound of a typical request of the router's callers; 0 if it had none.
+  std::int64_t TypicalBound_ = 0;
 
   /// Granted tokens above the ceiling at \p TableTime, which are certainly
   /// unspent.
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace camphorwind::budget {
 
@@ -62,6 +63,18 @@
 constexpr double SpreadFactor = 1.3;
 /// Weight of one request in the mean request size.
 constexpr double SizeWeight = 0.1;
+/// From this number of routers on, an even part of a slice may be smaller than
+/// one request, so that bursts and changes of grants follow the size of
+/// requests.
+constexpr std::size_t LargeFleet = 16;
+/// Minimum burst in a large fleet, in typical requests.
+constexpr double MinBurstRequests = 2;
+/// Replaces MinBurstShare in a large fleet. Callers of one account sit at few
+/// routers, and kills of all of them at once are rare.
+constexpr double LargeFleetBurstShare = 0.12;
+/// Smallest routine draw or return in a large fleet, in typical requests. With
+/// smaller ones, most transactions conflict on the rows that all routers share.
+constexpr double MinGrantChangeRequests = 0.5;
 /// Lower bound of the ceiling's rate: the tokens that the router holds, divided
 /// by this number of seconds.
 constexpr double MinRateDrainSeconds = 400;
@@ -207,6 +220,9 @@
   double DemandOfOthers_ = 0;
   /// Mean bound of reservations.
   double MeanSize_ = 0;
+  /// Largest typical bound that another router has published, from the last
+  /// read.
+  double TypicalBoundOfOthers_ = 0;
   /// Mean of the squared bound of reservations.
   double MeanSquaredSize_ = 0;
   /// Smoothed tokens reserved per second, as of `DemandAt_`. settle() subtracts
@@ -330,13 +346,32 @@
 
   static void addReservation(AccountState &State, std::int64_t Tokens,
                              base::TimePoint Now) {
+    State.Reserved_ += Tokens;
+    addRequest(State, Tokens, Now);
+  }
+
+  /// Counts a request of this router's callers as demand.
+  static void addRequest(AccountState &State, std::int64_t Tokens,
+                         base::TimePoint Now) {
     if (!State.FirstUseAt_)
       State.FirstUseAt_ = Now;
-    State.Reserved_ += Tokens;
     updateSizeMeans(State, Tokens);
     addDemand(State, Tokens, Now);
   }
 
+  bool isLargeFleet() const { return Routers_ >= LargeFleet; }
+
+  /// Root mean square of the bounds of this router's requests, which covers
+  /// most requests where sizes vary much; 0 if it had none.
+  static double ownTypicalBound(const AccountState &State) {
+    return std::sqrt(std::max(0.0, State.MeanSquaredSize_));
+  }
+  /// Bound of a typical request of the account; 0 if none is known.
+  static double typicalBound(const AccountState &State) {
+    double Own = ownTypicalBound(State);
+    return Own > 0 ? Own : State.TypicalBoundOfOthers_;
+  }
+
   /// Takes tokens from this router's share of the urgent reserve, if it has
   /// enough.
   bool takeUrgentAllowance(AccountState &State, std::int64_t Tokens,
@@ -662,6 +697,14 @@
     double Target = targetTokens(State, Now);
     auto Held = static_cast<double>(Remaining);
     double MinDelta = minGrantChange(State);
+    // Less than one request serves nobody here, and is missing elsewhere.
+    if (double Typical = typicalBound(State);
+        isLargeFleet() && Target < Typical) {
+      if (!isInUse(State, Now))
+        return -Remaining;
+      return Held > 2 * Typical ? -static_cast<std::int64_t>(Held - Typical)
+                                : 0;
+    }
     if (Held < RefillRatio * Target && Target - Held > MinDelta)
       return std::min(Drawable, static_cast<std::int64_t>(Target - Held));
     if (Held > ReturnRatio * Target &&
@@ -670,6 +713,12 @@
     return 0;
   }
 
+  /// Whether callers of this router use the account.
+  static bool isInUse(const AccountState &State, base::TimePoint Now) {
+    return State.Reserved_ > 0 ||
+           (State.FirstUseAt_ && Now - State.DemandAt_ < DemandSmoothingTime);
+  }
+
   /// This router's share of the tokens granted in excess of a budget that was
   /// cut.
   std::int64_t surplusAfterCut(const AccountState &State) const {
@@ -750,6 +799,18 @@
     milliseconds Delay_{0};
   };
 
+  /// Returns what a router may spend at once of an account that is not scarce.
+  double minBurst(const AccountState &State) const {
+    double Tokens = MinBurstTokens;
+    double Share = MinBurstShare;
+    if (isLargeFleet()) {
+      Tokens = std::max(Tokens, MinBurstRequests * typicalBound(State));
+      Share = LargeFleetBurstShare;
+    }
+    return std::min(Tokens, Share / static_cast<double>(Routers_) *
+                                static_cast<double>(unspent(State)));
+  }
+
   /// The less is left of an account, the less may its ceilings strand.
   CeilingPolicy ceilingPolicy(const AccountState &State, double Demand,
                               base::TimePoint Now) const {
@@ -757,9 +818,7 @@
       return {ScarceBurstShare * static_cast<double>(State.Prepaid_) *
                   demandShare(State, Now),
               ScarceCeilingFactor, ScarceCeilingDelay};
-    double MinBurst =
-        std::min(MinBurstTokens, MinBurstShare / static_cast<double>(Routers_) *
-                                     static_cast<double>(unspent(State)));
+    double MinBurst = minBurst(State);
     if (!lastsLessThan(LimitedTime, State, Now))
       return {MinBurst};
     double Expected = Demand * LimitedBurstTime.count();
@@ -837,8 +896,11 @@
   }
 
   double minGrantChange(const AccountState &State) const {
-    return MinGrantChangeShare * static_cast<double>(State.Prepaid_) /
-           static_cast<double>(Routers_);
+    double Share = MinGrantChangeShare * static_cast<double>(State.Prepaid_) /
+                   static_cast<double>(Routers_);
+    return isLargeFleet()
+               ? std::max(Share, MinGrantChangeRequests * typicalBound(State))
+               : Share;
   }
 
   /// Builds draws and returns, or checkpoints, in turns. Draws and returns
@@ -868,12 +930,13 @@
     base::Transaction Change;
     PendingAccounts_.clear();
     OpensAccount_ = false;
+    if (Grants)
+      addGrants(Change, Now);
     for (auto &[Account, State] : Accounts_) {
-      if (PendingAccounts_.size() >= MaxAccountsPerTransaction)
+      if (Grants || PendingAccounts_.size() >= MaxAccountsPerTransaction)
         break;
-      if (Grants ? needsGrant(State, Now) : needsCheckpoint(State, Now))
-        addAccount(Account, State, Change, Grants ? grantDelta(State, Now) : 0,
-                   Now);
+      if (needsCheckpoint(State, Now))
+        addAccount(Account, State, Change, 0, Now);
     }
     if (PendingAccounts_.empty() && (Grants || !isHeartbeatDue(Now)))
       return std::nullopt;
@@ -881,6 +944,44 @@
     return Change;
   }
 
+  /// Adds the draws and returns that matter most: first those of refused
+  /// requests, then those furthest from their target.
+  void addGrants(base::Transaction &Change, base::TimePoint Now) {
+    struct Wanted {
+      bool Refused_;
+      double Importance_;
+      std::map<base::AccountId, AccountState>::iterator Account_;
+    };
+    std::vector<Wanted> All;
+    for (auto Each = Accounts_.begin(); Each != Accounts_.end(); ++Each) {
+      AccountState &State = Each->second;
+      if (!needsGrant(State, Now))
+        continue;
+      double Size = std::max(1.0, static_cast<double>(State.Prepaid_));
+      All.push_back(
+          {State.RefusedBound_ > 0,
+           std::abs(static_cast<double>(grantDelta(State, Now))) / Size, Each});
+    }
+    std::size_t Count = std::min(All.size(), GrantAccounts_);
+    std::partial_sort(All.begin(),
+                      All.begin() + static_cast<std::ptrdiff_t>(Count),
+                      All.end(), [](const Wanted &Left, const Wanted &Right) {
+                        return std::pair(Left.Refused_, Left.Importance_) >
+                               std::pair(Right.Refused_, Right.Importance_);
+                      });
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      auto &[Account, State] = *All[Index].Account_;
+      addAccount(Account, State, Change, grantDelta(State, Now), Now);
+    }
+  }
+
+  bool changesTotals() const {
+    return std::any_of(PendingAccounts_.begin(), PendingAccounts_.end(),
+                       [this](const base::AccountId &Each) {
+                         return Accounts_.at(Each).PendingTotalChange_ != 0;
+                       });
+  }
+
   void addAccount(const base::AccountId &Account, AccountState &State,
                   base::Transaction &Change, std::int64_t Grant,
                   base::TimePoint Now) {
@@ -895,7 +996,8 @@
         {std::move(Key),
          detail::encodeSlice(
              {Settings_.Incarnation_.str(), Granted, *State.PendingCheckpoint_,
-              publishedDemand(State, Now), State.Reserved_, State.Stranded_})});
+              publishedDemand(State, Now), State.Reserved_, State.Stranded_,
+              static_cast<std::int64_t>(ownTypicalBound(State))})});
     std::string Total = key(detail::totalKey(Account));
     // Routers that open the account must not miss a slice that is being written
     // again.
@@ -918,6 +1020,8 @@
   }
 
   void applyCommitted(base::RowVersion Version, base::TimePoint Now) {
+    if (changesTotals())
+      GrantAccounts_ = std::min(MaxAccountsPerTransaction, GrantAccounts_ + 1);
     for (const base::AccountId &Account : PendingAccounts_) {
       AccountState &State = Accounts_[Account];
       State.SliceVersion_ = Version;
@@ -1027,6 +1131,7 @@
     for (auto &[Account, State] : Accounts_) {
       State.UsedByOthers_ = 0;
       State.DemandOfOthers_ = 0;
+      State.TypicalBoundOfOthers_ = 0;
       State.RefusedBound_ = 0;
       State.RefusedUrgentBound_ = 0;
       State.GrantedToOthers_ = 0;
@@ -1165,6 +1270,8 @@
   static void addOtherSlice(AccountState &State, const SliceRow &Row,
                             milliseconds Time) {
     State.UsedByOthers_ += Row.Checkpoint_.Used_;
+    State.TypicalBoundOfOthers_ = std::max(
+        State.TypicalBoundOfOthers_, static_cast<double>(Row.TypicalBound_));
     std::chrono::duration<double> Age = Time - Row.Checkpoint_.At_;
     State.DemandOfOthers_ +=
         static_cast<double>(Row.TokensPerSecond_) *
@@ -1196,6 +1303,10 @@
   std::optional<base::Transaction> LastTransaction_;
   /// Accounts changed by the transaction in progress.
   std::vector<base::AccountId> PendingAccounts_;
+  /// Maximum number of accounts in one transaction that changes totals. Halves
+  /// with each conflict: one changed total undoes the whole transaction, and
+  /// with many routers that each change many totals, none gets through.
+  std::size_t GrantAccounts_ = MaxAccountsPerTransaction;
   base::TimePoint RunningSince_{};
   base::TimePoint NextTransactionAt_{};
   base::TimePoint LastWriteAt_{};
@@ -1323,6 +1434,34 @@
   Impl::addDemand(State, Spent.count() - Bound.count(), Now);
 }
 
+bool Escrow::lend(const base::AccountId &Account, base::Tokens Bound,
+                  base::TimePoint Now) {
+  auto Found = Impl_->Accounts_.find(Account);
+  if (!Impl_->Loaded_ || Impl_->Closing_ || Found == Impl_->Accounts_.end() ||
+      Impl_->available(Found->second, Now) < Bound.count())
+    return false;
+  Found->second.Reserved_ += Bound.count();
+  return true;
+}
+
+void Escrow::settleLent(const base::AccountId &Account, base::Tokens Bound,
+                        base::Tokens Spent) {
+  AccountState &State = Impl_->Accounts_[Account];
+  State.Reserved_ -= Bound.count();
+  State.Spent_ += Spent.count();
+}
+
+void Escrow::addBorrowed(const base::AccountId &Account, base::Tokens Bound,
+                         base::TimePoint Now) {
+  Impl::addRequest(Impl_->Accounts_[Account], Bound.count(), Now);
+}
+
+void Escrow::settleBorrowed(const base::AccountId &Account, base::Tokens Bound,
+                            base::Tokens Spent, base::TimePoint Now) {
+  Impl::addDemand(Impl_->Accounts_[Account], Spent.count() - Bound.count(),
+                  Now);
+}
+
 std::optional<milliseconds>
 Escrow::timeUntilCovered(const base::AccountId &Account, base::Tokens Bound,
                          base::TimePoint Now) const {
@@ -1339,6 +1478,14 @@
   return std::nullopt;
 }
 
+bool Escrow::awaitsCeiling(const base::AccountId &Account, base::Tokens Bound,
+                           base::TimePoint Now) const {
+  auto Found = Impl_->Accounts_.find(Account);
+  return Found != Impl_->Accounts_.end() && !Impl_->TableUnreachable_ &&
+         !Impl_->isTransactionLate(Now) &&
+         Found->second.Granted_ - Found->second.used() >= Bound.count();
+}
+
 bool Escrow::needsRows(base::TimePoint Now) const {
   if (!Impl_->Loaded_ || !Impl_->RowsSeen_ || !Impl_->RowsInEra_)
     return true;
@@ -1406,6 +1553,9 @@
   case TransactionStatus::Conflict: {
     // Either this transaction took effect earlier and its reply was lost, as
     // the current slice rows show, or another router changed a total.
+    if (Impl_->changesTotals())
+      Impl_->GrantAccounts_ =
+          std::max<std::size_t>(1, Impl_->GrantAccounts_ / 2);
     Impl_->rollBack();
     Impl_->OutcomeUnknown_ = false;
     for (const base::Row &Each : Result.Current_) {
--- a/libs/budget/src/loans.cpp
+++ b/libs/budget/src/loans.cpp
@@ -22,9 +22,7 @@
     return true;
   if (Settled_.contains(Request.Id_))
     return false;
-  // A refused reservation would raise this router's demand.
-  if (Slices.status(Request.Account_, Now).Available_ < Request.Bound_ ||
-      !Slices.reserve(Request.Account_, Request.Bound_, Request.Urgent_, Now))
+  if (!Slices.lend(Request.Account_, Request.Bound_, Now))
     return false;
   Loans_.emplace(Request.Id_, Loan{Request.Account_, Request.Bound_,
                                    Now + Request.TimeLeft_ + SettlementGrace});
@@ -39,8 +37,8 @@
   if (Found == Loans_.end())
     return;
   const Loan &Ended = Found->second;
-  Slices.settle(Ended.Account_, Ended.Bound_,
-                std::clamp(Spent, base::Tokens(0), Ended.Bound_), Now);
+  Slices.settleLent(Ended.Account_, Ended.Bound_,
+                    std::clamp(Spent, base::Tokens(0), Ended.Bound_));
   Loans_.erase(Found);
 }
 
@@ -51,7 +49,7 @@
     const Loan &Open = Each.second;
     if (Now < Open.ExpiresAt_)
       return false;
-    Slices.settle(Open.Account_, Open.Bound_, Open.Bound_, Now);
+    Slices.settleLent(Open.Account_, Open.Bound_, Open.Bound_);
     return true;
   });
 }
--- a/libs/budget/test/loans-test.cpp
+++ b/libs/budget/test/loans-test.cpp
@@ -82,7 +82,9 @@
                            Other.Slices_.status(Shop, Now_).Available_, Now_);
       if (!Granted)
         continue;
+      Own.Slices_.addBorrowed(Shop, Tokens(Bound), Now_);
       Other.Lender_.settle(Other.Slices_, Id, Tokens(Bound), Now_);
+      Own.Slices_.settleBorrowed(Shop, Tokens(Bound), Tokens(Bound), Now_);
       Spent_ += Bound;
       return true;
     }
