Evacuate failure domains, limit requests to cold endpoints, slow-start endpoints

Rows by which the operator evacuates a failure domain were not read. Endpoints that are cold crash under more requests in a second than they state, from all routers together; nothing limited them. Endpoints that start or recover got their full share of requests before they had answered one.

Evacuated domains are skipped in every choice of an endpoint. Each router uses its own share of the limit of a cold endpoint, whose sum holds while routers come, go, freeze and are cut off. A slow start follows the answers of an endpoint. Stated work times scale expected times.

--- a/daemons/common/refusals.cpp
+++ b/daemons/common/refusals.cpp
@@ -73,6 +73,12 @@
     return {503, "It is not known which software version began the stream."};
   case RefusalReason::NoEndpoint:
     return {503, "No endpoint is available."};
+  case RefusalReason::Evacuated:
+    return {503, "All endpoints are evacuated at the moment."};
+  case RefusalReason::HostOverloaded:
+    return {503, "This router is overloaded."};
+  case RefusalReason::MemoryLimit:
+    return {503, "This router holds too many requests."};
   case RefusalReason::TicketLapsed:
   case RefusalReason::AgentLeaving:
     return {503, "The endpoint takes no work at the moment."};
--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -69,13 +69,41 @@
       routing::RetryWindow(Settings_.Retries_, Escrow_.routerCount())};
   PoolState &Created = Pools_.emplace(Id, std::move(State)).first->second;
   setPlace(Created);
+  applyPoolLimits(Id, Created);
+  base::TimePoint Now = Loop_.now();
+  for (const base::FailureDomainId &Each : Evacuations_.domains())
+    Created.Selector_.evacuate(Each, Now);
   return Created;
 }
 
+void ForwardingContext::applyPoolLimits(const base::PoolId &Id,
+                                        PoolState &Pool) const {
+  const auto *Config = findPoolConfig(Id);
+  if (!Config)
+    return;
+  const std::optional<ColdBounds> &Bounds = Settings_.Cold_;
+  bool HasColdLimit = Bounds && Config->ColdRequestsPerSecond_ > 0;
+  double Requests =
+      HasColdLimit ? Bounds->Factor_ * Config->ColdRequestsPerSecond_ +
+                         Bounds->Slack_
+                   : 0;
+  Pool.Selector_.coldLimits().setLimit(Requests, Config->ColdTime_);
+  Pool.Selector_.setProtection(HasColdLimit ||
+                                   Settings_.EndpointsHaveMemoryLimit_,
+                               Settings_.EndpointsHaveMemoryLimit_);
+}
+
+void ForwardingContext::applyPoolLimits() {
+  for (auto &[Id, Pool] : Pools_)
+    applyPoolLimits(Id, Pool);
+}
+
 void ForwardingContext::setPlace(PoolState &Pool) {
   base::TimePoint Now = Loop_.now();
-  Pool.Selector_.setPlace({Escrow_.routerCount(), Escrow_.routerIndex()},
-                          Escrow_.tableTime(Now) - Now.time_since_epoch(), Now);
+  routing::FleetPlace Place{Escrow_.routerCount(), Escrow_.routerIndex()};
+  routing::FleetTime Offset = Escrow_.tableTime(Now) - Now.time_since_epoch();
+  Pool.Selector_.setPlace(Place, Offset, Now);
+  Pool.Selector_.coldLimits().setPlace(Place, Offset, Escrow_.countedAt());
 }
 
 void ForwardingContext::updateClaims() {
@@ -149,6 +177,69 @@
     OnReports_();
 }
 
+void ForwardingContext::applyEvacuationChanges() {
+  base::TimePoint Now = Loop_.now();
+  for (const EvacuationChange &Each : Evacuations_.takeChanges()) {
+    // Half of the time that is left for requests on their way: prompts of the
+    // domain are copied to others while requests already stay away.
+    base::TimePoint CopyUntil = Now + Settings_.EvacuationTime_ / 2;
+    for (auto &[Id, Pool] : Pools_) {
+      if (Each.Evacuated_)
+        Pool.Selector_.evacuate(Each.Domain_, CopyUntil);
+      else
+        Pool.Selector_.endEvacuation(Each.Domain_, Now);
+    }
+    std::size_t Affected = 0;
+    for (const auto &[Id, Endpoint] : Endpoints_.usable()) {
+      if (Endpoint.Domain_ != Each.Domain_)
+        continue;
+      ++Affected;
+      Origins_.dropIdle(Endpoint.Address_);
+    }
+    Metrics_.gauge("evacuated_domains",
+                 static_cast<double>(Evacuations_.size()));
+    observe::log(LogLevel::Warning,
+                 Each.Evacuated_ ? "evacuation_began" : "evacuation_ended",
+                 {{"domain", Each.Domain_.str()},
+                  {"endpoints", Affected},
+                  {"evacuated_domains", Evacuations_.size()}});
+  }
+}
+
+void ForwardingContext::updateCold(routing::DirectPool &Selector,
+                                   const ListedEndpoint &Entry,
+                                   bool WasUsable) {
+  base::TimePoint Now = Loop_.now();
+  bool WasCold = Selector.coldLimits().isCold(Entry.Endpoint_, Now);
+  if (Entry.ColdLeft_)
+    Selector.coldLimits().setColdUntil(Entry.Endpoint_, Now + *Entry.ColdLeft_);
+  else if (!WasUsable)
+    Selector.coldLimits().setUnknown(Entry.Endpoint_, Now);
+  if (WasCold || !Selector.coldLimits().isCold(Entry.Endpoint_, Now))
+    return;
+  Selector.becameCold(Entry.Endpoint_);
+  observe::log(LogLevel::Info, "endpoint_cold",
+               {{"endpoint", Entry.Endpoint_.str()},
+                {"left_ms", Entry.ColdLeft_ ? Entry.ColdLeft_->count() : -1},
+                {"was_usable", WasUsable}});
+}
+
+void ForwardingContext::logMalformedHeader(const base::EndpointId &Endpoint,
+                                           std::string_view Header,
+                                           std::string_view Request) {
+  constexpr auto LogInterval = 60s;
+  base::TimePoint Now = Loop_.now();
+  auto [Found, New] = MalformedLoggedAt_.try_emplace(
+      {Endpoint, std::string(Header)}, Now);
+  if (!New && Now - Found->second < LogInterval)
+    return;
+  Found->second = Now;
+  observe::log(LogLevel::Warning, "answer_header_malformed",
+               {{"request", Request},
+                {"endpoint", Endpoint.str()},
+                {"header", Header}});
+}
+
 void ForwardingContext::applyEndpointChanges() {
   base::TimePoint Now = Loop_.now();
   for (const EndpointChange &Each : Endpoints_.takeChanges()) {
@@ -158,6 +249,9 @@
       Selector.remove(Entry.Endpoint_);
       if (*Each.DepartureReason_ == DepartureReason::Restarted)
         Selector.restarted(Entry.Endpoint_);
+      std::erase_if(MalformedLoggedAt_, [&Entry](const auto &Logged) {
+        return Logged.first.first == Entry.Endpoint_;
+      });
       Origins_.dropIdle(Entry.Address_);
       observe::log(LogLevel::Info, "endpoint_left",
                    {{"endpoint", Entry.Endpoint_.str()},
@@ -167,6 +261,7 @@
     Selector.addOrUpdate({Entry.Endpoint_, Entry.Domain_, Entry.Slots_,
                           cacheTokens(Entry.Pool_)},
                          Now);
+    updateCold(Selector, Entry, Each.WasUsable_);
     limitConnections(Entry);
     Streams_.markListed(Entry.Pool_, Entry.SoftwareVersion_, Now);
     observe::log(LogLevel::Info, "endpoint_usable",
@@ -294,6 +389,8 @@
     PreviousTickAt_ = std::exchange(TickedAt_, Now);
     Context_.Endpoints_.tick(Now);
     Context_.applyEndpointChanges();
+    Context_.Evacuations_.tick(Now);
+    Context_.applyEvacuationChanges();
     for (auto &[Id, Pool] : Context_.Pools_)
       for (const base::EndpointId &Each : Pool.Selector_.sweep(Now))
         observe::log(LogLevel::Warning, "endpoint_ejected",
@@ -323,6 +420,7 @@
     for (const Account &Each : Current.accounts())
       if (Each.Prepaid_)
         Context_.Escrow_.setBudget(Each.Account_, *Each.Prepaid_);
+    Context_.applyPoolLimits();
     if (CallerServer_)
       CallerServer_->setLimits(serverLimits(Current.Limits_));
     observe::log(LogLevel::Info, "configuration_in_force",
@@ -480,6 +578,12 @@
   Inner_->Context_.applyEndpointChanges();
   Inner_->logReadinessChange();
 }
+Evacuations &DirectRouter::evacuations() {
+  return Inner_->Context_.Evacuations_;
+}
+void DirectRouter::evacuationsChanged() {
+  Inner_->Context_.applyEvacuationChanges();
+}
 budget::Escrow &DirectRouter::escrow() { return Inner_->Context_.Escrow_; }
 void DirectRouter::onTokensNeeded(std::function<void()> Callback) {
   Inner_->Context_.OnTokensNeeded_ = std::move(Callback);
--- a/daemons/direct/direct-router.h
+++ b/daemons/direct/direct-router.h
@@ -7,6 +7,7 @@
 #include "camphorwind/base/result.h"
 #include "camphorwind/budget/escrow.h"
 #include "camphorwind/direct/endpoint-list.h"
+#include "camphorwind/direct/evacuations.h"
 #include "camphorwind/direct/stream-versions.h"
 #include "camphorwind/direct/view.h"
 #include "camphorwind/net/loop.h"
@@ -48,6 +49,12 @@
   EndpointList &endpoints();
   void endpointsChanged();
 
+  /// The failure domains whose endpoints get no requests. Call
+  /// evacuationsChanged() after modifying them, and before the first
+  /// configuration is offered: a router is not ready without one.
+  Evacuations &evacuations();
+  void evacuationsChanged();
+
   /// The router's budget slices. Call escrowChanged() after passing rows or
   /// transaction results to them.
   budget::Escrow &escrow();
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace camphorwind::direct {
@@ -23,6 +24,10 @@
 /// Longest wait for tokens to be drawn from the table; allows for several
 /// transactions.
 constexpr milliseconds MaxTokenWait = 300ms;
+/// Wait for a transaction that raises the ceiling of this router's own slice
+/// before other routers are asked for a loan. A transaction usually takes less
+/// than 50 ms.
+constexpr milliseconds OwnTokensWait = 80ms;
 /// Retry-After when only other routers hold enough tokens: the time in which
 /// they return tokens that they do not need.
 constexpr milliseconds TokensElsewhereRetryAfter = 1500ms;
@@ -85,6 +90,8 @@
     return RefusalReason::DeadlineUnreachable;
   case routing::PlacementError::HeldOff:
     return RefusalReason::Overloaded;
+  case routing::PlacementError::Evacuated:
+    return RefusalReason::Evacuated;
   }
   return RefusalReason::Internal;
 }
@@ -97,6 +104,14 @@
                          : routing::FailureKind::Refused;
 }
 
+routing::ReportedLoad reportedLoad(const EndpointLoad &Stated) {
+  constexpr double PercentPerOne = 100;
+  routing::ReportedLoad Load{Stated.Running_, Stated.Waiting_, std::nullopt};
+  if (Stated.WorkTimePercent_)
+    Load.WorkTime_ = *Stated.WorkTimePercent_ / PercentPerOne;
+  return Load;
+}
+
 /// Whether the response is a stream of events, as far as its headers tell.
 bool mayBeEventStream(const net::HttpHeaders &Headers) {
   constexpr std::string_view EventStreamType = "text/event-stream";
@@ -262,8 +277,14 @@
   bool MayBorrow =
       MayWait || Reservation.error() == budget::EscrowRefusal::HeldByOthers ||
       Reservation.error() == budget::EscrowRefusal::TableUnreachable;
-  if (!TokenWaitStart_)
+  if (!TokenWaitStart_) {
     TokenWaitStart_ = Now;
+    if (Context_.OnTokensNeeded_)
+      Context_.Loop_.post(Context_.OnTokensNeeded_);
+  }
+  if (MayWait && !LoanPending_ && Now - *TokenWaitStart_ < OwnTokensWait &&
+      Context_.Escrow_.awaitsCeiling(Account_->Account_, MaxTokens, Now))
+    return false;
   if (LoanPending_ || (MayBorrow && startLoan(MaxTokens, Now)))
     return false;
   if (MayWait && Now - *TokenWaitStart_ < MaxTokenWait &&
@@ -404,6 +425,11 @@
       Route_->HasPrompt_
           ? static_cast<std::uint32_t>(RequestMetadata_.PromptTokens_.count())
           : 0;
+  if (RequestMetadata_.HasTokenBounds_)
+    PlacementRequest.MaxOutputTokens_ =
+        static_cast<std::uint32_t>(std::min<std::int64_t>(
+            RequestMetadata_.MaxOutputTokens_.count(),
+            std::numeric_limits<std::uint32_t>::max()));
   PlacementRequest.BodyBytes_ = Body_ ? Body_->size() : 0;
   PlacementRequest.FirstByteObjective_ = Route_->FirstByteObjective_;
   PlacementRequest.Deadline_ = Deadline_;
@@ -682,8 +708,7 @@
   base::TimePoint Now = Context_.Loop_.now();
   auto &Selector = Context_.poolState(Pool_).Selector_;
   if (Response.Load_)
-    Selector.loadReported(Of.PoolAttempt_, Response.Load_->Running_,
-                          Response.Load_->Waiting_, Now);
+    Selector.loadReported(Of.PoolAttempt_, reportedLoad(*Response.Load_), Now);
   constexpr unsigned MisdirectedRequest = 421;
   // Another instance than the chosen one answers with 421.
   if (Head.Status_ != MisdirectedRequest)
@@ -709,10 +734,8 @@
                                           base::TimePoint Now) {
   const std::string &Endpoint = Of.Placement_.Endpoint_.str();
   for (const std::string &Each : Response.Malformed_)
-    observe::log(LogLevel::Warning, "answer_header_malformed",
-                 {{"request", RequestMetadata_.AttemptId_},
-                  {"endpoint", Endpoint},
-                  {"header", Each}});
+    Context_.logMalformedHeader(Of.Placement_.Endpoint_, Each,
+                                RequestMetadata_.AttemptId_);
   if (Response.HoldOff_) {
     Context_.poolState(Pool_).Selector_.holdOff(Of.Placement_.Endpoint_,
                                                 Now + *Response.HoldOff_);
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -10,6 +10,7 @@
 #include "camphorwind/base/random.h"
 #include "camphorwind/budget/escrow.h"
 #include "camphorwind/direct/endpoint-list.h"
+#include "camphorwind/direct/evacuations.h"
 #include "camphorwind/direct/stream-versions.h"
 #include "camphorwind/direct/view.h"
 #include "camphorwind/net/loop.h"
@@ -23,8 +24,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -78,6 +82,14 @@
   void limitResponseBytes();
   /// Takes the changes of Endpoints_ over into the pools.
   void applyEndpointChanges();
+  /// Takes the changes of Evacuations_ over into the pools.
+  void applyEvacuationChanges();
+  /// Takes over what the current configuration says of the pools' endpoints.
+  void applyPoolLimits();
+  /// Logs a header that can't be parsed, at most once a minute for each
+  /// endpoint and header.
+  void logMalformedHeader(const base::EndpointId &Endpoint,
+                          std::string_view Header, std::string_view Request);
   /// Whether a request that arrives now is refused because of a stop.
   bool refusesNew(base::TimePoint Now) const {
     return RefusesFrom_ && Now >= *RefusesFrom_;
@@ -91,12 +103,17 @@
   const Pool *findPoolConfig(const base::PoolId &Id) const;
   std::uint64_t cacheTokens(const base::PoolId &Id) const;
   void limitConnections(const ListedEndpoint &Entry);
+  void applyPoolLimits(const base::PoolId &Id, PoolState &Pool) const;
+  /// Notes how long an endpoint stays cold, as far as its entry says.
+  void updateCold(routing::DirectPool &Selector, const ListedEndpoint &Entry,
+                  bool WasUsable);
 
 public:
   net::Loop &Loop_;
   DirectSettings Settings_;
   ViewHolder View_;
   EndpointList Endpoints_;
+  Evacuations Evacuations_;
   StreamVersions Streams_;
   /// Looks a stream up in the table; may be empty.
   StreamLookup FindStream_;
@@ -122,6 +139,9 @@
   /// When the configuration source became unreachable; unset while reachable.
   std::optional<base::TimePoint> SourceLostAt_;
   routing::Pause Pause_;
+  /// When a malformed header was last logged, by endpoint and header.
+  std::map<std::pair<base::EndpointId, std::string>, base::TimePoint>
+      MalformedLoggedAt_;
   /// A stop was requested; new requests are still accepted for a while.
   bool Stopping_ = false;
   /// When new requests begin to be refused; unset if no stop was requested.
--- a/daemons/direct/settings.h
+++ b/daemons/direct/settings.h
@@ -12,6 +12,15 @@
 
 namespace camphorwind::direct {
 
+/// How far requests to a cold endpoint may exceed its stated rate, in any one
+/// second and over all routers.
+struct ColdBounds {
+  /// Multiple of the stated requests per second.
+  double Factor_ = 1;
+  /// Requests in addition.
+  double Slack_ = 0;
+};
+
 /// Settings of a router that calls endpoints directly, without agents.
 struct DirectSettings {
   base::RouterId Router_;
@@ -25,6 +34,13 @@
   std::optional<base::Address> LoanListen_;
   HeaderNames Headers_;
   routing::RetryWindowOptions Retries_;
+  /// Limits for cold endpoints; unset if the deployment states none.
+  std::optional<ColdBounds> Cold_;
+  /// Time within which an evacuated failure domain must get no more requests.
+  std::chrono::milliseconds EvacuationTime_{0};
+  /// Whether endpoints crash when the requests that they hold exceed their
+  /// memory.
+  bool EndpointsHaveMemoryLimit_ = false;
   /// How long requests are accepted after SIGTERM, until the load balancer has
   /// noticed: it polls every second and needs two failed polls. Requests that
   /// arrive later could not finish within ShutdownTimeout_. A busy process
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1928,6 +1928,51 @@
   EXPECT_TRUE(Response.Headers_.find("Retry-After"));
 }
 
+// Guards against requests to endpoints that the operator wants empty: first
+// attempts, and repeats that were decided before.
+TEST_F(DirectRouterTest, EvacuatedDomainGetsNoRequest) {
+  configure(RequestKind::Idempotent);
+  FakeEndpoint &Target = addEndpoint();
+  base::FailureDomainId Here("here");
+  Router_->evacuations().begin(Here);
+  Router_->evacuationsChanged();
+  CallerResponse Response = fetch(makeCall());
+  EXPECT_EQ(Response.Status_, 503u);
+  EXPECT_TRUE(Response.Headers_.find("Retry-After"));
+  EXPECT_NE(Response.Body_.find("\"evacuated\""), std::string::npos);
+  EXPECT_EQ(Target.Requests_.size(), 0u);
+  Router_->evacuations().end(Here);
+  Router_->evacuationsChanged();
+  EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+}
+
+TEST_F(DirectRouterTest, RepeatStaysAwayFromAnEvacuatedDomain) {
+  configure(RequestKind::Idempotent);
+  FakeEndpoint &First = addEndpoint({EndpointBehavior::SilentUntilError});
+  First.Silence_ = 300ms;
+  CallerResponse Response;
+  net::Timer Evacuate(*Loop_, [this] {
+    Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+    list("other", Endpoints_.back()->address(), "here");
+    Router_->evacuations().begin(base::FailureDomainId("here"));
+    Router_->evacuationsChanged();
+  });
+  Evacuate.start(100ms);
+  Response = fetch(makeCall());
+  EXPECT_EQ(receivedRequests(), 1u);
+  EXPECT_GE(Response.Status_, 500u);
+}
+
+// Guards against pools that are first used after the evacuation began.
+TEST_F(DirectRouterTest, EvacuationHoldsForPoolsThatAreUsedLater) {
+  Router_->evacuations().begin(base::FailureDomainId("here"));
+  Router_->evacuationsChanged();
+  configure(RequestKind::Idempotent);
+  FakeEndpoint &Target = addEndpoint();
+  EXPECT_EQ(fetch(makeCall()).Status_, 503u);
+  EXPECT_EQ(Target.Requests_.size(), 0u);
+}
+
 TEST_F(DirectRouterTest, CallerDisconnectCancelsTheEndpointRequest) {
   configure(RequestKind::Idempotent);
   FakeEndpoint &Target = addEndpoint({EndpointBehavior::NoResponse});
--- a/libs/base/include/camphorwind/base/reasons.h
+++ b/libs/base/include/camphorwind/base/reasons.h
@@ -38,6 +38,12 @@
   NoSliceTableUnreachable,
   BoundTooLarge,
   NoEndpoint,
+  /// All endpoints are in failure domains that the operator has evacuated.
+  Evacuated,
+  /// This host is too far behind to serve the request in time.
+  HostOverloaded,
+  /// Requests that are being read or forwarded fill this host's memory.
+  MemoryLimit,
   StreamUnknown,
   EndpointFailed,
   EndpointStalled,
--- a/libs/base/src/reasons.cpp
+++ b/libs/base/src/reasons.cpp
@@ -58,6 +58,12 @@
     return "stream_unknown";
   case RefusalReason::NoEndpoint:
     return "no_endpoint";
+  case RefusalReason::Evacuated:
+    return "evacuated";
+  case RefusalReason::HostOverloaded:
+    return "host_overloaded";
+  case RefusalReason::MemoryLimit:
+    return "memory_limit";
   case RefusalReason::EndpointFailed:
     return "endpoint_failed";
   case RefusalReason::EndpointStalled:
--- a/libs/direct/include/camphorwind/direct/endpoint-list.h
+++ b/libs/direct/include/camphorwind/direct/endpoint-list.h
@@ -31,6 +31,9 @@
   /// Version of the endpoint's software. What two versions write for one
   /// request does not fit together.
   std::string SoftwareVersion_;
+  /// How much longer the endpoint takes few requests after its start; unset if
+  /// it does not say.
+  std::optional<std::chrono::milliseconds> ColdLeft_;
 
   friend bool operator==(const ListedEndpoint &,
                          const ListedEndpoint &) = default;
@@ -54,6 +57,8 @@
 /// An endpoint that became usable, was updated or became unusable.
 struct EndpointChange {
   ListedEndpoint Endpoint_;
+  /// Whether the endpoint was usable before.
+  bool WasUsable_ = false;
   /// Set only if the endpoint became unusable.
   std::optional<DepartureReason> DepartureReason_;
 };
--- a/libs/direct/include/camphorwind/direct/view.h
+++ b/libs/direct/include/camphorwind/direct/view.h
@@ -86,6 +86,11 @@
   base::Tokens EngineCacheTokens_;
   /// Maximum number of tokens in one event of a stream.
   unsigned TokensPerEvent_ = 1;
+  /// Requests per second that an endpoint takes while it is cold; 0 if
+  /// endpoints take all requests from their start.
+  double ColdRequestsPerSecond_ = 0;
+  /// How long an endpoint stays cold after its start.
+  std::chrono::milliseconds ColdTime_{0};
 };
 
 /// A client account.
--- a/libs/direct/src/endpoint-list.cpp
+++ b/libs/direct/src/endpoint-list.cpp
@@ -36,7 +36,7 @@
     return;
   if (Reason == DepartureReason::Unlisted)
     Unlisted_.insert_or_assign(Endpoint, Found->second);
-  Changes_.push_back({std::move(Found->second), Reason});
+  Changes_.push_back({std::move(Found->second), true, Reason});
   Usable_.erase(Found);
 }
 
@@ -80,8 +80,8 @@
     if (!isSameStart(Found->second, Entry))
       markUnusable(Entry.Endpoint_, DepartureReason::Restarted);
   }
-  Usable_.insert_or_assign(Entry.Endpoint_, Entry);
-  Changes_.push_back({Entry, std::nullopt});
+  bool New = Usable_.insert_or_assign(Entry.Endpoint_, Entry).second;
+  Changes_.push_back({Entry, !New, std::nullopt});
 }
 
 void EndpointList::remove(const base::EndpointId &Endpoint,
--- a/libs/routing/include/camphorwind/routing/direct-pool.h
+++ b/libs/routing/include/camphorwind/routing/direct-pool.h
@@ -4,6 +4,7 @@
 #include "camphorwind/base/ids.h"
 #include "camphorwind/base/result.h"
 #include "camphorwind/base/time.h"
+#include "camphorwind/routing/cold-limits.h"
 #include "camphorwind/routing/ejector.h"
 #include "camphorwind/routing/pause.h"
 #include "camphorwind/routing/prompt-cache.h"
@@ -63,6 +64,12 @@
   /// times the expected time to the first byte after the oldest attempt was
   /// sent.
   base::Duration SilenceTimeout_ = std::chrono::milliseconds(600);
+  /// Whether endpoints crash when the requests that they hold exceed their
+  /// memory, CacheTokens_, so that all routers together must not fill it.
+  bool LimitHeldTokens_ = false;
+  /// Whether endpoints that start or recover begin with a slow start. Also
+  /// where endpoints state how long work takes.
+  bool SlowStart_ = false;
   /// Fraction of a prompt's shared prefix that its affinity target is assumed
   /// to have cached while nothing is known, as after a restart of this router.
   double AssumedCachedFraction_ = 0.7;
@@ -79,6 +86,7 @@
   /// request. Empty for a request without a prompt, called a plain call here.
   std::span<const PromptPart> Prompt_;
   std::uint32_t PromptTokens_ = 0;
+  std::uint32_t MaxOutputTokens_ = 0;
   std::size_t BodyBytes_ = 0;
   /// Target time to the first byte of the answer.
   base::Duration FirstByteObjective_{0};
@@ -101,7 +109,8 @@
   NoEndpoint, ///< The pool is empty, or all its endpoints are excluded.
   TooLate,    ///< No answer is expected to begin before the deadline.
   HeldOff,    ///< All endpoints left want no requests for a while, also because
-              ///< of their request limits.
+              ///< of their request limits or because they are cold.
+  Evacuated,  ///< All endpoints left are in evacuated failure domains.
 };
 
 /// A request without an endpoint, and the delay before a retry may succeed.
@@ -112,6 +121,15 @@
 
 using DirectAttemptId = std::uint64_t;
 
+/// Load that an endpoint reports in an answer, in requests of all routers.
+struct ReportedLoad {
+  std::uint32_t Running_ = 0;
+  std::uint32_t Waiting_ = 0;
+  /// How long work takes there at the moment, as a multiple of the usual time;
+  /// unset if the endpoint does not state it.
+  std::optional<double> WorkTime_;
+};
+
 /// Chooses among the endpoints of one pool that routers call without agents.
 ///
 /// Endpoints report load only in their answers. Between answers their state is
@@ -139,6 +157,13 @@
   /// Sends the endpoint nothing before \p Until, because it asked for that.
   /// Applies also if the endpoint is removed and added again meanwhile.
   void holdOff(const base::EndpointId &Endpoint, base::TimePoint Until);
+  /// Sends nothing more to the endpoints of a failure domain. Prompt parts may
+  /// still be copied from there before \p CopyUntil.
+  void evacuate(const base::FailureDomainId &Domain, base::TimePoint CopyUntil);
+  /// Uses the endpoints of a failure domain again; they may all be cold.
+  void endEvacuation(const base::FailureDomainId &Domain, base::TimePoint Now);
+  /// Begins a slow start of an endpoint that states that it is cold.
+  void becameCold(const base::EndpointId &Endpoint);
   /// Ends the hold-off and the request limit of an endpoint, for one that has
   /// started again.
   void restarted(const base::EndpointId &Endpoint);
@@ -146,6 +171,10 @@
   /// Requests that endpoints take from all routers together. Endpoints are not
   /// chosen before this router's turn.
   RequestLimits &requestLimits();
+  /// Requests that cold endpoints take from all routers together.
+  ColdLimits &coldLimits();
+  /// Changes DirectPoolOptions::SlowStart_ and LimitHeldTokens_.
+  void setProtection(bool SlowStart, bool LimitHeldTokens);
 
   /// Chooses the endpoint with the lowest cost for \p Request. Silent
   /// endpoints, and ejected ones not due for a probe, are chosen only if no
@@ -158,10 +187,9 @@
   /// attempt's events are reported.
   DirectAttemptId sent(const Placement &Placed, const PlacementRequest &Request,
                        base::TimePoint Now);
-  /// Records the load, in requests, that the endpoint reported in its answer to
-  /// \p Attempt.
-  void loadReported(DirectAttemptId Attempt, std::uint32_t Running,
-                    std::uint32_t Waiting, base::TimePoint Now);
+  /// Records the load that the endpoint reported in its answer to \p Attempt.
+  void loadReported(DirectAttemptId Attempt, const ReportedLoad &Load,
+                    base::TimePoint Now);
   /// Records that the first byte or event of the answer arrived.
   void answered(DirectAttemptId Attempt, base::TimePoint Now);
   /// Records that more of the answer arrived.
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -1,5 +1,7 @@
 #include "camphorwind/routing/direct-pool.h"
 
+#include "camphorwind/routing/slow-start.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -42,6 +44,24 @@
 /// Cost of sending to an endpoint whose slots are all occupied; every occupied
 /// slot slows down the others.
 constexpr double OccupancyCost = 0.1;
+/// Time constant for averaging the work times that endpoints state. They change
+/// many times a second; the latest one alone would send the requests of all
+/// routers to the same endpoint.
+constexpr Milliseconds WorkTimeAveragingTime{1000};
+/// Weight of one stated work time at least.
+constexpr double MinWorkTimeWeight = 0.05;
+constexpr double MinWorkTime = 0.2;
+constexpr double MaxWorkTime = 20;
+/// Part of an endpoint's memory that the requests of all routers may fill, with
+/// an estimate for the other routers.
+constexpr double HeldTokensShare = 0.9;
+/// Tokens of one request until the first one is sent.
+constexpr double InitialRequestTokens = 4000;
+/// Refused requests may come back after this time if all endpoints are full.
+constexpr std::chrono::milliseconds FullRetryDelay{250};
+/// Refused requests may come back after this time if all endpoints are
+/// evacuated: evacuations last for seconds at least.
+constexpr std::chrono::milliseconds EvacuatedRetryDelay{1500};
 
 /// Returns \p Value moved towards \p Normal by the decay over \p Age.
 double decay(double Value, double Normal, base::Duration Age) {
@@ -90,6 +110,12 @@
     std::set<std::pair<base::TimePoint, DirectAttemptId>> Unanswered_;
     /// Number of attempts whose answer has begun.
     std::uint32_t Streaming_ = 0;
+    /// Prompt and maximum output of this router's requests in flight.
+    std::uint64_t HeldTokens_ = 0;
+    /// Smoothed work time that the endpoint states, 1 as usual.
+    double WorkTime_ = 1;
+    base::TimePoint WorkTimeAt_{};
+    SlowStart SlowStart_;
   };
 
   struct Attempt {
@@ -97,7 +123,9 @@
     std::uint64_t Generation_ = 0;
     base::TimePoint SentAt_{};
     base::Duration ExpectedFirstByte_{0};
+    base::Duration FirstByteObjective_{0};
     double UncachedTokens_ = 0;
+    std::uint64_t HeldTokens_ = 0;
     bool Answered_ = false;
   };
 
@@ -143,9 +171,47 @@
     return Target.InFlight_ + Others;
   }
 
+  double workTime(const Endpoint &Target, base::TimePoint Now) const {
+    return decay(Target.WorkTime_, 1, Now - Target.WorkTimeAt_);
+  }
+
+  bool isEvacuated(const Endpoint &Target) const {
+    return Evacuated_.contains(Target.Traits_.Domain_);
+  }
+  /// Whether prompt parts may be copied from the endpoint.
+  bool isCopySource(const Endpoint &Target, base::TimePoint Now) const {
+    auto Found = Evacuated_.find(Target.Traits_.Domain_);
+    return Found == Evacuated_.end() || Now < Found->second;
+  }
+
+  bool usesSlowStart() const { return Options_.SlowStart_ || StatesWorkTime_; }
+  void beginSlowStart(Endpoint &Target) const {
+    if (usesSlowStart())
+      Target.SlowStart_.begin(Target.Traits_.Slots_);
+  }
+
+  /// Tokens that a request may fill of an endpoint's memory.
+  static std::uint64_t tokensOf(const PlacementRequest &Request) {
+    return std::uint64_t{Request.PromptTokens_} + Request.MaxOutputTokens_;
+  }
+  /// Whether the endpoint's memory may not take the request beside those that
+  /// it holds.
+  bool isFull(const Endpoint &Target, const PlacementRequest &Request,
+              base::TimePoint Now) const {
+    if (!Options_.LimitHeldTokens_ || Target.Traits_.CacheTokens_ == 0)
+      return false;
+    double Others =
+        decay(Target.OtherRequests_, 0, Now - Target.LoadReportedAt_);
+    double Held = static_cast<double>(Target.HeldTokens_) +
+                  Others * MeanRequestTokens_ +
+                  static_cast<double>(tokensOf(Request));
+    return Held >
+           HeldTokensShare * static_cast<double>(Target.Traits_.CacheTokens_);
+  }
+
   Milliseconds expectedFirstByte(const Endpoint &Target, double Uncached,
                                  base::TimePoint Now) const {
-    double Slowness = slowness(Target, Now);
+    double Slowness = slowness(Target, Now) * workTime(Target, Now);
     double Requests = requests(Target, Now);
     double Slots = std::max(1U, Target.Traits_.Slots_);
     if (Target.Traits_.CacheTokens_ == 0) {
@@ -174,6 +240,8 @@
     const Endpoint *Best = nullptr;
     std::uint64_t BestScore = 0;
     for (const auto &[Id, Each] : Endpoints_) {
+      if (isEvacuated(*Each))
+        continue;
       std::uint64_t Score =
           XXH3_64bits_withSeed(&Key, sizeof(Key), Each->NameHash_);
       if (!Best || Score > BestScore) {
@@ -197,7 +265,7 @@
     for (const auto &[Id, Each] : Endpoints_) {
       std::uint32_t Tokens = Each->Cache_.cachedTokens(Prompt);
       if (Tokens > Best.Tokens_ && !Ejector_.ejected(Each->Index_) &&
-          !silent(*Each, Now))
+          isCopySource(*Each, Now) && !silent(*Each, Now))
         Best = {Each.get(), Tokens};
     }
     return Best;
@@ -207,7 +275,8 @@
   /// not now.
   std::optional<base::TimePoint> heldOffUntil(const base::EndpointId &Id,
                                               base::TimePoint Now) const {
-    base::TimePoint Until = Now + Limits_.wait(Id, Now);
+    base::TimePoint Until =
+        Now + std::max(Limits_.wait(Id, Now), ColdLimits_.wait(Id, Now));
     auto Found = HeldOffUntil_.find(Id);
     if (Found != HeldOffUntil_.end())
       Until = std::max(Until, Found->second);
@@ -317,6 +386,7 @@
                     base::TimePoint Now) {
     if (Target.InFlight_ > 0)
       --Target.InFlight_;
+    Target.HeldTokens_ -= std::min(Target.HeldTokens_, Record.HeldTokens_);
     if (Record.Answered_) {
       if (Target.Streaming_ > 0)
         --Target.Streaming_;
@@ -333,6 +403,17 @@
   /// End of the hold-off of each endpoint that has asked for one.
   std::unordered_map<base::EndpointId, base::TimePoint> HeldOffUntil_;
   RequestLimits Limits_;
+  ColdLimits ColdLimits_;
+  /// Evacuated failure domains, each with the time until which prompt parts may
+  /// be copied from it.
+  std::unordered_map<base::FailureDomainId, base::TimePoint> Evacuated_;
+  /// Whether an endpoint of the pool has stated how long work takes.
+  bool StatesWorkTime_ = false;
+  /// Whether an answer of the pool was whole, so that endpoints which are added
+  /// have started, and not this router.
+  bool HasServed_ = false;
+  /// Tokens of one request, smoothed over all requests.
+  double MeanRequestTokens_ = InitialRequestTokens;
   std::vector<EndpointIndex> FreeIndices_;
   EndpointIndex NextIndex_ = 0;
   std::vector<std::uint64_t> Generations_;
@@ -368,6 +449,8 @@
   Created->LastProgress_ = Now;
   Impl_->Ejector_.add(Created->Index_, Now, false);
   Impl_->Ejector_.setServing(Created->Index_, true);
+  if (Impl_->HasServed_)
+    Impl_->beginSlowStart(*Created);
   Impl_->Endpoints_.emplace(Settings.Endpoint_, std::move(Created));
 }
 
@@ -388,13 +471,42 @@
   Current = std::max(Current, Until);
 }
 
+void DirectPool::evacuate(const base::FailureDomainId &Domain,
+                          base::TimePoint CopyUntil) {
+  Impl_->Evacuated_.emplace(Domain, CopyUntil);
+}
+
+void DirectPool::endEvacuation(const base::FailureDomainId &Domain,
+                               base::TimePoint Now) {
+  Impl_->Evacuated_.erase(Domain);
+  for (auto &[Id, Each] : Impl_->Endpoints_) {
+    if (Each->Traits_.Domain_ != Domain)
+      continue;
+    Impl_->ColdLimits_.setUnknown(Id, Now);
+    Impl_->beginSlowStart(*Each);
+  }
+}
+
+void DirectPool::becameCold(const base::EndpointId &Endpoint) {
+  if (Impl::Endpoint *Found = Impl_->find(Endpoint))
+    Impl_->beginSlowStart(*Found);
+}
+
 void DirectPool::restarted(const base::EndpointId &Endpoint) {
   Impl_->HeldOffUntil_.erase(Endpoint);
   Impl_->Limits_.forget(Endpoint);
+  Impl_->ColdLimits_.forget(Endpoint);
 }
 
 RequestLimits &DirectPool::requestLimits() { return Impl_->Limits_; }
 
+ColdLimits &DirectPool::coldLimits() { return Impl_->ColdLimits_; }
+
+void DirectPool::setProtection(bool SlowStart, bool LimitHeldTokens) {
+  Impl_->Options_.SlowStart_ = SlowStart;
+  Impl_->Options_.LimitHeldTokens_ = LimitHeldTokens;
+}
+
 void DirectPool::setPlace(FleetPlace Place, FleetTime ClockOffset,
                           base::TimePoint Now) {
   Impl_->Options_.Routers_ = Place.Routers_;
@@ -411,7 +523,12 @@
   std::optional<Impl::Candidate> Best;
   std::optional<Impl::Candidate> BestUnusable;
   std::optional<base::TimePoint> HeldOffUntil;
+  bool SkippedEvacuated = false;
   for (auto &[Id, Each] : Impl_->Endpoints_) {
+    if (Impl_->isEvacuated(*Each)) {
+      SkippedEvacuated = true;
+      continue;
+    }
     Impl_->Limits_.want(Id, Now);
     if (auto Until = Impl_->heldOffUntil(Id, Now)) {
       HeldOffUntil = std::min(HeldOffUntil.value_or(*Until), *Until);
@@ -419,10 +536,16 @@
     }
     if (Impl_->isExcluded(Request, *Each))
       continue;
+    if (Impl_->isFull(*Each, Request, Now)) {
+      base::TimePoint Until = Now + FullRetryDelay;
+      HeldOffUntil = std::min(HeldOffUntil.value_or(Until), Until);
+      continue;
+    }
     Impl::Candidate Evaluated =
         Impl_->evaluate(*Each, Request, AffinityTarget, Holder, Now);
-    bool Usable =
-        Impl_->Ejector_.admits(Each->Index_, Now) && !Impl_->silent(*Each, Now);
+    bool Usable = Impl_->Ejector_.admits(Each->Index_, Now) &&
+                  Each->SlowStart_.admits(Each->InFlight_) &&
+                  !Impl_->silent(*Each, Now);
     std::optional<Impl::Candidate> &Selected = Usable ? Best : BestUnusable;
     if (Impl::better(Selected, Evaluated))
       Selected = Evaluated;
@@ -432,6 +555,9 @@
   if (!Best && HeldOffUntil)
     return base::failure(
         PlacementFailure{PlacementError::HeldOff, *HeldOffUntil - Now});
+  if (!Best && SkippedEvacuated)
+    return base::failure(
+        PlacementFailure{PlacementError::Evacuated, EvacuatedRetryDelay});
   if (!Best) {
     constexpr std::chrono::milliseconds NoEndpointWait{1000};
     return base::failure(
@@ -465,6 +591,11 @@
     Target->LastProgress_ = Now;
   ++Target->InFlight_;
   Impl_->Limits_.sent(Placed.Endpoint_, Now);
+  Impl_->ColdLimits_.sent(Placed.Endpoint_, Now);
+  std::uint64_t Tokens = Impl::tokensOf(Request);
+  Target->HeldTokens_ += Tokens;
+  Impl_->MeanRequestTokens_ +=
+      SampleWeight * (static_cast<double>(Tokens) - Impl_->MeanRequestTokens_);
   Impl_->changeBacklog(*Target, Uncached, Now);
   Target->Unanswered_.insert({Now, Id});
   if (!Request.Prompt_.empty())
@@ -472,22 +603,33 @@
   Impl_->Ejector_.sent(Target->Index_);
   Impl_->Attempts_.emplace(
       Id, Impl::Attempt{Placed.Endpoint_, Impl_->generation(*Target), Now,
-                        Placed.ExpectedFirstByte_, Uncached, false});
+                        Placed.ExpectedFirstByte_, Request.FirstByteObjective_,
+                        Uncached, Tokens, false});
   return Id;
 }
 
-void DirectPool::loadReported(DirectAttemptId Attempt, std::uint32_t Running,
-                              std::uint32_t Waiting, base::TimePoint Now) {
+void DirectPool::loadReported(DirectAttemptId Attempt, const ReportedLoad &Load,
+                              base::TimePoint Now) {
   auto Found = Impl_->Attempts_.find(Attempt);
   if (Found == Impl_->Attempts_.end())
     return;
   Impl::Endpoint *Target = Impl_->endpointOf(Found->second);
   if (!Target)
     return;
-  std::uint32_t All = Running + Waiting;
+  std::uint32_t All = Load.Running_ + Load.Waiting_;
   Target->OtherRequests_ = All - std::min(All, Target->InFlight_);
-  Target->WaitingRequests_ = Waiting;
+  Target->WaitingRequests_ = Load.Waiting_;
   Target->LoadReportedAt_ = Now;
+  if (!Load.WorkTime_)
+    return;
+  Impl_->StatesWorkTime_ = true;
+  double Previous = Impl_->workTime(*Target, Now);
+  double Weight = std::max(
+      MinWorkTimeWeight, 1 - std::exp(-Milliseconds(Now - Target->WorkTimeAt_) /
+                                      WorkTimeAveragingTime));
+  double Stated = std::clamp(*Load.WorkTime_, MinWorkTime, MaxWorkTime);
+  Target->WorkTime_ = Previous + Weight * (Stated - Previous);
+  Target->WorkTimeAt_ = Now;
 }
 
 void DirectPool::answered(DirectAttemptId Attempt, base::TimePoint Now) {
@@ -504,8 +646,10 @@
   ++Target->Streaming_;
   Impl_->changeBacklog(*Target, -Record.UncachedTokens_, Now);
   double Previous = Impl_->slowness(*Target, Now);
+  base::Duration Elapsed = Impl_->Pause_.awake(Record.SentAt_, Now);
+  Target->SlowStart_.answered(Elapsed <= Record.FirstByteObjective_);
   double Observed =
-      Milliseconds(Impl_->Pause_.awake(Record.SentAt_, Now)) /
+      Milliseconds(Elapsed) /
       std::max(Milliseconds(1), Milliseconds(Record.ExpectedFirstByte_));
   double Sample = std::clamp(Previous * Observed, MinSlowness, MaxSlowness);
   Target->Slowness_ = Previous + SampleWeight * (Sample - Previous);
@@ -528,7 +672,11 @@
   if (Impl::Endpoint *Target = Impl_->endpointOf(Found->second)) {
     Target->LastProgress_ = Now;
     Impl_->closeAttempt(*Target, Attempt, Found->second, Now);
+    bool WasEjected = Impl_->Ejector_.ejected(Target->Index_);
     Impl_->Ejector_.succeeded(Target->Index_, Now);
+    if (WasEjected && !Impl_->Ejector_.ejected(Target->Index_))
+      Impl_->beginSlowStart(*Target);
+    Impl_->HasServed_ = true;
     Target->FailureRate_ =
         Impl_->failureRate(*Target, Now) * (1 - SampleWeight);
     Target->FailureRateUpdatedAt_ = Now;
@@ -552,6 +700,7 @@
     Impl_->closeAttempt(*Target, Attempt, Found->second, Now);
     Ejected = Impl_->Ejector_.failed(Target->Index_, Kind, Now);
     if (Kind != FailureKind::Cancelled) {
+      Target->SlowStart_.failed();
       double Previous = Impl_->failureRate(*Target, Now);
       Target->FailureRate_ = Previous + SampleWeight * (1 - Previous);
       Target->FailureRateUpdatedAt_ = Now;
@@ -570,6 +719,7 @@
 std::vector<base::EndpointId> DirectPool::sweep(base::TimePoint Now) {
   std::erase_if(Impl_->HeldOffUntil_,
                 [Now](const auto &Each) { return Now >= Each.second; });
+  Impl_->ColdLimits_.sweep(Now);
   std::vector<base::EndpointId> Ejected;
   for (auto &[Id, Each] : Impl_->Endpoints_)
     if (Impl_->silent(*Each, Now) &&
--- a/libs/routing/test/direct-pool-test.cpp
+++ b/libs/routing/test/direct-pool-test.cpp
@@ -281,7 +281,7 @@
 TEST_F(DirectPoolTest, EndpointLoadedByOtherRoutersIsAvoided) {
   addPlainHosts(2);
   SentRequest Sent = start(plainCall());
-  Pool_.loadReported(Sent.Attempt_, 6, 12, Now_);
+  Pool_.loadReported(Sent.Attempt_, {6, 12, {}}, Now_);
   Pool_.finished(Sent.Attempt_, Now_);
   for (int Call = 0; Call < 3; ++Call)
     EXPECT_NE(start(plainCall()).Placement_.Endpoint_,
