Take over totals beside a transaction; raise ceilings for refused loans

Cause, from a log of the conditions that failed: routers knew versions of total rows that were up to 2,000 revisions old. Reads of all rows were taken over only while no transaction was in progress, and with 26 routers, transactions wait for each other and one is in progress nearly always, so that each change of a total conflicted first.

Rows of accounts that the transaction in progress does not concern are taken over. Routine draws and returns of a large fleet are limited to 100 transactions a second together. A lender whose slice covers a loan, but not its ceiling, raises the ceiling with its next transaction.

--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -175,7 +175,8 @@
               base::Tokens Spent, base::TimePoint Now);
 
   /// Reserves \p Bound tokens for a request of another router, which counts as
-  /// that router's demand. Every loan must end with settleLent().
+  /// that router's demand. Every loan must end with settleLent(). If only the
+  /// ceiling is too low, the next transaction raises it, for a later request.
   bool lend(const base::AccountId &Account, base::Tokens Bound,
             base::TimePoint Now);
   void settleLent(const base::AccountId &Account, base::Tokens Bound,
@@ -194,8 +195,9 @@
   timeUntilCovered(const base::AccountId &Account, base::Tokens Bound,
                    base::TimePoint Now) const;
 
-  /// Whether only the ceiling keeps this router from spending \p Bound more
-  /// tokens, and the table answers, so that the next transaction raises it.
+  /// Whether it is worth waiting for the next transaction before asking others:
+  /// only the ceiling keeps this router from spending \p Bound more tokens, and
+  /// the table answers. Always false in small fleets, where ceilings are wide.
   bool awaitsCeiling(const base::AccountId &Account, base::Tokens Bound,
                      base::TimePoint Now) const;
 
@@ -234,6 +236,9 @@
   std::vector<LenderCandidate> lenders(const base::AccountId &Account,
                                        base::Tokens Bound,
                                        base::TimePoint Now) const;
+  /// Whether there are so many routers that an even part of a slice may be
+  /// smaller than one request.
+  bool isLargeFleet() const;
   /// Number of routers with a recent heartbeat, including this one; at least
   /// `EscrowSettings::ExpectedRouters_`. After a time without reads of the
   /// table, routers keep counting for as long as a heartbeat is awaited.
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -69,12 +69,19 @@
 constexpr std::size_t LargeFleet = 16;
 /// Minimum burst in a large fleet, in typical requests.
 constexpr double MinBurstRequests = 2;
-/// Replaces MinBurstShare in a large fleet. Callers of one account sit at few
+/// Replaces MinBurstShare in a large fleet. The callers of an account use few
 /// routers, and kills of all of them at once are rare.
 constexpr double LargeFleetBurstShare = 0.12;
+/// Replaces MinRateDrainSeconds in a large fleet. Routers without callers of an
+/// account hold a part of it to lend while the table is away.
+constexpr double LargeFleetDrainSeconds = 100;
 /// Smallest routine draw or return in a large fleet, in typical requests. With
 /// smaller ones, most transactions conflict on the rows that all routers share.
 constexpr double MinGrantChangeRequests = 0.5;
+/// Transactions per second with routine draws and returns, of all routers of a
+/// large fleet together. The table runs transactions one after another, and
+/// those of refused requests must not queue behind routine ones.
+constexpr double RoutineGrantsPerSecond = 100;
 /// Lower bound of the ceiling's rate: the tokens that the router holds, divided
 /// by this number of seconds.
 constexpr double MinRateDrainSeconds = 400;
@@ -206,6 +213,9 @@
   /// Largest refused bound of urgent requests that may draw on the urgent
   /// reserve. Reset together with `RefusedBound_`.
   std::int64_t RefusedUrgentBound_ = 0;
+  /// Largest bound that a loan was refused for although the slice covers it.
+  /// Reset together with `RefusedBound_`.
+  std::int64_t RefusedLoan_ = 0;
   /// Tokens of the urgent reserve that this router may draw now.
   double UrgentAllowance_ = UrgentBurstTokens;
   base::TimePoint UrgentAllowanceAt_{};
@@ -361,6 +371,12 @@
 
   bool isLargeFleet() const { return Routers_ >= LargeFleet; }
 
+  /// Whether routers of a large fleet can raise ceilings now for refused
+  /// requests and loans, as far as this router sees of the table.
+  bool canRaiseCeilings(base::TimePoint Now) const {
+    return isLargeFleet() && !TableUnreachable_ && !isTransactionLate(Now);
+  }
+
   /// Root mean square of the bounds of this router's requests, which covers
   /// most requests where sizes vary much; 0 if it had none.
   static double ownTypicalBound(const AccountState &State) {
@@ -841,11 +857,13 @@
     double Demand = expectedDemand(State, Now);
     CeilingPolicy Policy = ceilingPolicy(State, Demand, Now);
     Next.Burst_ = std::min(Remaining,
-                           std::max(static_cast<std::int64_t>(Policy.MinBurst_),
-                                    State.RefusedBound_));
-    Next.RatePerSecond_ = static_cast<std::int64_t>(std::ceil(
-        std::max(Policy.Factor_ * Demand,
-                 static_cast<double>(Remaining) / MinRateDrainSeconds)));
+                           std::max({static_cast<std::int64_t>(Policy.MinBurst_),
+                                     State.RefusedBound_, State.RefusedLoan_}));
+    double DrainSeconds =
+        isLargeFleet() ? LargeFleetDrainSeconds : MinRateDrainSeconds;
+    Next.RatePerSecond_ = static_cast<std::int64_t>(
+        std::ceil(std::max(Policy.Factor_ * Demand,
+                           static_cast<double>(Remaining) / DrainSeconds)));
     Next.Spread_ = static_cast<std::int64_t>(
         std::ceil(SpreadFactor * std::sqrt(Demand * varianceRatio(State))));
     Next.Delay_ = Policy.Delay_;
@@ -882,9 +900,9 @@
     if (Closing_)
       return State.Granted_ > 0 && !State.ConfirmedCheckpoint_->isFinal();
     // The slice covers a refused request, but the ceiling does not.
-    if (State.RefusedBound_ > 0 && State.RefusedBound_ <= Remaining &&
-        State.RefusedBound_ > available(State, Now))
-      return true;
+    for (std::int64_t Refused : {State.RefusedBound_, State.RefusedLoan_})
+      if (Refused > 0 && Refused <= Remaining && Refused > available(State, Now))
+        return true;
     base::Duration Age = Now - State.CheckpointAt_;
     if (State.used() != State.ConfirmedCheckpoint_->Used_ ||
         State.RefusedBound_ > 0)
@@ -953,9 +971,10 @@
       std::map<base::AccountId, AccountState>::iterator Account_;
     };
     std::vector<Wanted> All;
+    bool RoutineDue = !isLargeFleet() || Closing_ || Now >= NextRoutineGrantAt_;
     for (auto Each = Accounts_.begin(); Each != Accounts_.end(); ++Each) {
       AccountState &State = Each->second;
-      if (!needsGrant(State, Now))
+      if (!(RoutineDue || State.RefusedBound_ > 0) || !needsGrant(State, Now))
         continue;
       double Size = std::max(1.0, static_cast<double>(State.Prepaid_));
       All.push_back(
@@ -973,6 +992,11 @@
       auto &[Account, State] = *All[Index].Account_;
       addAccount(Account, State, Change, grantDelta(State, Now), Now);
     }
+    if (RoutineDue && Count > 0)
+      NextRoutineGrantAt_ =
+          Now + std::chrono::duration_cast<base::Duration>(
+                    std::chrono::duration<double>(
+                        static_cast<double>(Routers_) / RoutineGrantsPerSecond));
   }
 
   bool changesTotals() const {
@@ -1035,6 +1059,7 @@
         State.GrantAt_ = Now;
       State.NeedsRestate_ = false;
       State.RefusedBound_ = 0;
+      State.RefusedLoan_ = 0;
       State.RefusedUrgentBound_ = 0;
       State.CheckpointAt_ = Now;
       State.ConfirmedCheckpoint_ =
@@ -1133,6 +1158,7 @@
       State.DemandOfOthers_ = 0;
       State.TypicalBoundOfOthers_ = 0;
       State.RefusedBound_ = 0;
+      State.RefusedLoan_ = 0;
       State.RefusedUrgentBound_ = 0;
       State.GrantedToOthers_ = 0;
       State.OtherSlices_.clear();
@@ -1140,7 +1166,9 @@
       State.CopiedTotal_ = 0;
     }
     // While the outcome of a transaction is open, only its result tells the
-    // state of this router's rows and of the totals.
+    // state of the rows that it concerns. The others are taken over: a router
+    // that always has a transaction in progress would not see what has become
+    // of the totals, and all its changes of them would conflict.
     bool AdoptsOwn = !Running_ && !OutcomeUnknown_;
     bool HasOlderRows = false;
     std::vector<base::Row> Presences;
@@ -1162,7 +1190,7 @@
       for (const base::Row &Each : EraRows) {
         if (Era < Era_)
           addCopiedRow(Each);
-        else if (!addOthersRow(Each, Now) && AdoptsOwn)
+        else if (!addOthersRow(Each, Now) && (AdoptsOwn || !isPending(Each)))
           adoptRow(Each, Now);
       }
     }
@@ -1173,6 +1201,19 @@
       updateUnopenedTotals(Now);
   }
 
+  /// Whether the transaction in progress may change the row, or depends on it.
+  bool isPending(const base::Row &Found) const {
+    std::string Account;
+    if (Found.Key_.starts_with(TotalPrefix))
+      Account = Found.Key_.substr(TotalPrefix.size());
+    else if (auto Name = detail::sliceNameFromKey(Found.Key_))
+      Account = Name->Account_.str();
+    else
+      return true;
+    return std::find(PendingAccounts_.begin(), PendingAccounts_.end(),
+                     base::AccountId(Account)) != PendingAccounts_.end();
+  }
+
   /// Notes a row of an earlier era.
   void addCopiedRow(const base::Row &Found) {
     if (Found.Key_.starts_with(TotalPrefix)) {
@@ -1308,6 +1349,8 @@
   /// with many routers that each change many totals, none gets through.
   std::size_t GrantAccounts_ = MaxAccountsPerTransaction;
   base::TimePoint RunningSince_{};
+  /// When a transaction may hold routine draws and returns again.
+  base::TimePoint NextRoutineGrantAt_{};
   base::TimePoint NextTransactionAt_{};
   base::TimePoint LastWriteAt_{};
   base::TimePoint RowsReadAt_{};
@@ -1437,11 +1480,16 @@
 bool Escrow::lend(const base::AccountId &Account, base::Tokens Bound,
                   base::TimePoint Now) {
   auto Found = Impl_->Accounts_.find(Account);
-  if (!Impl_->Loaded_ || Impl_->Closing_ || Found == Impl_->Accounts_.end() ||
-      Impl_->available(Found->second, Now) < Bound.count())
+  if (!Impl_->Loaded_ || Impl_->Closing_ || Found == Impl_->Accounts_.end())
     return false;
-  Found->second.Reserved_ += Bound.count();
-  return true;
+  AccountState &State = Found->second;
+  if (Impl_->available(State, Now) >= Bound.count()) {
+    State.Reserved_ += Bound.count();
+    return true;
+  }
+  if (Impl_->isLargeFleet() && State.Granted_ - State.used() >= Bound.count())
+    State.RefusedLoan_ = std::max(State.RefusedLoan_, Bound.count());
+  return false;
 }
 
 void Escrow::settleLent(const base::AccountId &Account, base::Tokens Bound,
@@ -1481,8 +1529,7 @@
 bool Escrow::awaitsCeiling(const base::AccountId &Account, base::Tokens Bound,
                            base::TimePoint Now) const {
   auto Found = Impl_->Accounts_.find(Account);
-  return Found != Impl_->Accounts_.end() && !Impl_->TableUnreachable_ &&
-         !Impl_->isTransactionLate(Now) &&
+  return Impl_->canRaiseCeilings(Now) && Found != Impl_->Accounts_.end() &&
          Found->second.Granted_ - Found->second.used() >= Bound.count();
 }
 
@@ -1631,15 +1678,20 @@
     auto SpentSince =
         static_cast<std::int64_t>(std::max(0.0, Age.count()) *
                                   static_cast<double>(Slice.TokensPerSecond_));
-    std::int64_t Available =
-        std::min(Slice.Granted_, Slice.Checkpoint_.ceiling(Time)) -
-        Slice.Checkpoint_.Used_ - SpentSince;
+    // A lender that reaches the table can raise its ceiling.
+    std::int64_t Ceiling = Impl_->canRaiseCeilings(Now)
+                               ? Slice.Granted_
+                               : Slice.Checkpoint_.ceiling(Time);
+    std::int64_t Available = std::min(Slice.Granted_, Ceiling) -
+                             Slice.Checkpoint_.Used_ - SpentSince;
     if (Available >= Bound.count())
       Found.push_back({Address->second, base::Tokens(Available)});
   }
   return Found;
 }
 
+bool Escrow::isLargeFleet() const { return Impl_->isLargeFleet(); }
+
 std::size_t Escrow::routerCount() const { return Impl_->Routers_; }
 
 void Escrow::setNote(std::string Note) { Impl_->Note_ = std::move(Note); }
--- a/libs/budget/test/loans-test.cpp
+++ b/libs/budget/test/loans-test.cpp
@@ -172,6 +172,27 @@
   EXPECT_LE(status().Granted_.count(), 1'000'000);
 }
 
+// Guards against slices that grow where tokens are lent instead of where the
+// requests arrive.
+TEST_F(LenderTest, LoanIsDemandOfTheBorrower) {
+  Fleet::Router &Borrower = Fleet_.Routers_[1];
+  std::int64_t LenderBefore = status().Granted_.count();
+  for (int Loan = 0; Loan < 40; ++Loan) {
+    std::string Id = "loan" + std::to_string(Loan);
+    ASSERT_TRUE(lend(Id, 2000));
+    Borrower.Slices_.addBorrowed(Shop, Tokens(2000), Fleet_.Now_);
+    settle(Id, 1500);
+    Borrower.Slices_.settleBorrowed(Shop, Tokens(2000), Tokens(1500),
+                                    Fleet_.Now_);
+    Fleet_.run(600ms);
+  }
+  EXPECT_EQ(status().Used_, Tokens(40 * 1500));
+  EXPECT_EQ(status().Reserved_, Tokens(0));
+  EXPECT_LT(status().Granted_.count(), LenderBefore);
+  EXPECT_GT(Borrower.Slices_.status(Shop, Fleet_.Now_).Granted_.count(),
+            2 * status().Granted_.count());
+}
+
 TEST_F(LenderTest, ClosingRouterLendsNothing) {
   lender().Slices_.close();
   EXPECT_FALSE(lend("a", 100));
