Refuse requests early on small hosts that lag; drop those of callers that left

Cause: a router on a host of 0.068 cores stands still for a second at a time under the callers of one large account.

A router measures how long requests wait in their sockets and how late the turns of its loop are. While it lags, it looks for the end of a caller's connection before an attempt is placed and again before its first byte is sent; an endpoint that has left or was evacuated meanwhile gets nothing. On hosts with less than 0.15 of a core, requests that would be late are refused at once, less urgent ones first, and lasting lag withdraws readiness for a bounded time.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -38,6 +38,13 @@
 /// Time before the end of the process at which requests that are still open are
 /// answered.
 constexpr auto FinalAnswerTime = 200ms;
+/// Interval at which the same malformed header of an endpoint is logged again.
+constexpr auto MalformedLogInterval = 60s;
+/// Hosts with a smaller share of a processor core refuse requests while they
+/// lag. Larger ones catch up by themselves.
+constexpr double SmallCpuShare = 0.15;
+/// Retry-After of a host that lags: callers repeat a request at another router.
+constexpr auto LagRetryAfter = 50ms;
 constexpr std::uint32_t MaxReadinessHeaderBytes = 8U * 1024;
 /// Longest request line, which counts beside the limit on headers.
 constexpr std::size_t MaxRequestLineBytes = 8UL * 1024;
@@ -83,12 +90,13 @@
     return;
   const std::optional<ColdBounds> &Bounds = Settings_.Cold_;
   bool HasColdLimit = Bounds && Config->ColdRequestsPerSecond_ > 0;
+  bool MayBeCold = Bounds && Config->ColdTime_ > 0ms;
   double Requests =
       HasColdLimit ? Bounds->Factor_ * Config->ColdRequestsPerSecond_ +
                          Bounds->Slack_
                    : 0;
   Pool.Selector_.coldLimits().setLimit(Requests, Config->ColdTime_);
-  Pool.Selector_.setProtection(HasColdLimit ||
+  Pool.Selector_.setProtection(MayBeCold ||
                                    Settings_.EndpointsHaveMemoryLimit_,
                                Settings_.EndpointsHaveMemoryLimit_);
 }
@@ -103,7 +111,7 @@
   routing::FleetPlace Place{Escrow_.routerCount(), Escrow_.routerIndex()};
   routing::FleetTime Offset = Escrow_.tableTime(Now) - Now.time_since_epoch();
   Pool.Selector_.setPlace(Place, Offset, Now);
-  Pool.Selector_.coldLimits().setPlace(Place, Offset, Escrow_.countedAt());
+  Pool.Selector_.coldLimits().setPlace(Place, Offset, Count_);
 }
 
 void ForwardingContext::updateClaims() {
@@ -209,6 +217,8 @@
 void ForwardingContext::updateCold(routing::DirectPool &Selector,
                                    const ListedEndpoint &Entry,
                                    bool WasUsable) {
+  if (!Settings_.Cold_)
+    return;
   base::TimePoint Now = Loop_.now();
   bool WasCold = Selector.coldLimits().isCold(Entry.Endpoint_, Now);
   if (Entry.ColdLeft_)
@@ -227,13 +237,11 @@
 void ForwardingContext::logMalformedHeader(const base::EndpointId &Endpoint,
                                            std::string_view Header,
                                            std::string_view Request) {
-  constexpr auto LogInterval = 60s;
   base::TimePoint Now = Loop_.now();
   auto [Found, New] = MalformedLoggedAt_.try_emplace(
       {Endpoint, std::string(Header)}, Now);
-  if (!New && Now - Found->second < LogInterval)
+  if (!New)
     return;
-  Found->second = Now;
   observe::log(LogLevel::Warning, "answer_header_malformed",
                {{"request", Request},
                 {"endpoint", Endpoint.str()},
@@ -249,9 +257,6 @@
       Selector.remove(Entry.Endpoint_);
       if (*Each.DepartureReason_ == DepartureReason::Restarted)
         Selector.restarted(Entry.Endpoint_);
-      std::erase_if(MalformedLoggedAt_, [&Entry](const auto &Logged) {
-        return Logged.first.first == Entry.Endpoint_;
-      });
       Origins_.dropIdle(Entry.Address_);
       observe::log(LogLevel::Info, "endpoint_left",
                    {{"endpoint", Entry.Endpoint_.str()},
@@ -305,11 +310,67 @@
 
   void handle(net::HttpRequest Request,
               const std::shared_ptr<net::HttpExchange> &Exchange) {
+    if (!Request.Pipelined_)
+      Context_.Load_.observe(Request.SocketWait_, Context_.Loop_.now());
+    if (Context_.lags(Context_.Loop_.now()) && Exchange->endIfCallerLeft()) {
+      Context_.Metrics_.count("direct_requests", "outcome", "caller_gone");
+      return;
+    }
+    if (mustShed(Request)) {
+      ++ShedRequests_;
+      Context_.Metrics_.count("direct_requests", "outcome", "host_overloaded");
+      Exchange->respond(overloadAnswer());
+      return;
+    }
     auto Forwarded = std::make_shared<ForwardedRequest>(
         Context_, std::move(Request), Exchange);
     Forwarded->start();
   }
 
+  /// Whether the request is refused because this host lags. Cheap, so that a
+  /// burst of requests does not add to the lag.
+  bool mustShed(const net::HttpRequest &Request) const {
+    const ViewPtr &Current = Context_.View_.current();
+    if (!Context_.Load_.overloaded() || !Current ||
+        Context_.Settings_.CpuShare_ >= SmallCpuShare)
+      return false;
+    const Route *Found = Current->findRouteOfHost(
+        Request.Headers_.find("Host").value_or(""), Request.Path_);
+    return Found &&
+           Context_.Load_.mustRefuse(
+               {Request.Pipelined_ ? 0ms : Request.SocketWait_,
+                Found->FirstByteObjective_, Found->Priority_},
+               Context_.Loop_.now());
+  }
+
+  net::HttpAnswer overloadAnswer() {
+    daemons::CallerError Error;
+    Error.Reason_ = base::RefusalReason::HostOverloaded;
+    // With jitter, so that callers refused together do not return together.
+    constexpr std::uint32_t JitterMs = 50;
+    Error.RetryAfter_ = LagRetryAfter + milliseconds(Context_.Random_(JitterMs));
+    Context_.Metrics_.countRefusal(Error.Reason_, Error.Ran_);
+    return daemons::errorAnswer(Error);
+  }
+
+  void updateLoad(base::TimePoint Now) {
+    budget::Escrow &Escrow = Context_.Escrow_;
+    Context_.Load_.tick({Escrow.routerCount(), Escrow.routerIndex()},
+                        Escrow.tableTime(Now), Now);
+    bool IsOverloaded = Context_.Load_.overloaded();
+    if (IsOverloaded == LoggedOverload_ ||
+        Context_.Settings_.CpuShare_ >= SmallCpuShare)
+      return;
+    LoggedOverload_ = IsOverloaded;
+    Context_.Metrics_.gauge("host_overloaded", IsOverloaded ? 1 : 0);
+    auto Lag = std::chrono::duration_cast<milliseconds>(Context_.Load_.lag(Now));
+    observe::log(LogLevel::Warning,
+                 IsOverloaded ? "host_overloaded" : "host_recovered",
+                 {{"lag_ms", Lag.count()},
+                  {"in_progress", Context_.OpenRequests_.size()},
+                  {"refused", std::exchange(ShedRequests_, 0)}});
+  }
+
   /// Returns how long a caller may take to send its request: no longer than it
   /// may be kept waiting for the answer.
   std::optional<base::Duration>
@@ -349,7 +410,9 @@
   }
 
   bool ready() const {
-    return !Context_.Stopping_ && Context_.View_.current() != nullptr &&
+    bool HasRoom = Context_.Settings_.CpuShare_ >= SmallCpuShare ||
+                   Context_.Load_.ready();
+    return HasRoom && !Context_.Stopping_ && Context_.View_.current() != nullptr &&
            Context_.Endpoints_.loaded() && Context_.Escrow_.loaded();
   }
 
@@ -359,6 +422,7 @@
     LoggedReady_ = ready();
     observe::log(LogLevel::Info, LoggedReady_ ? "ready" : "not_ready",
                  {{"endpoints", Context_.Endpoints_.size()},
+                  {"overloaded", Context_.Load_.overloaded()},
                   {"stopping", Context_.Stopping_}});
   }
 
@@ -367,6 +431,8 @@
   void onTurn() {
     base::TimePoint Now = Context_.Loop_.now();
     base::Duration Length = Now - std::exchange(TurnedAt_, Now);
+    Context_.Load_.observe(
+        std::max<base::Duration>(Length - TickInterval, 0ms), Now);
     if (Length <= MaxTurn)
       return;
     Context_.Pause_ = {Now, Length};
@@ -402,10 +468,14 @@
     if (Now - SweptAt_ >= SweepInterval) {
       SweptAt_ = Now;
       Context_.Quarantine_.sweep(Now);
+      std::erase_if(Context_.MalformedLoggedAt_, [Now](const auto &Each) {
+        return Now - Each.second >= MalformedLogInterval;
+      });
       Context_.updateStreamVersions();
     }
     Context_.quarantineChanged();
     Context_.updateClaims();
+    updateLoad(Now);
     logReadinessChange();
     if (Context_.Stopping_)
       continueStop(Now);
@@ -438,6 +508,8 @@
         Pool.Retries_.setRouterCount(Routers_);
       observe::log(LogLevel::Info, "routers_counted", {{"routers", Routers_}});
     }
+    if (auto CountedAt = Context_.Escrow_.countedAt())
+      Context_.Count_.add(*CountedAt);
     for (auto &[Id, Pool] : Context_.Pools_)
       Context_.setPlace(Pool);
     if (auto ReadAt = Context_.Escrow_.countedAt(); ReadAt != ClaimsReadAt_) {
@@ -498,6 +570,9 @@
   std::optional<base::TimePoint> ClaimsReadAt_;
   base::TimePoint SweptAt_{};
   bool LoggedReady_ = false;
+  bool LoggedOverload_ = false;
+  /// Requests refused because of the lag since the last line about it.
+  std::uint64_t ShedRequests_ = 0;
   base::TimePoint TickedAt_ = Context_.Loop_.now();
   base::TimePoint PreviousTickAt_ = TickedAt_;
   /// When the stop was requested, or the last time before it that the process
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -28,6 +28,10 @@
 /// before other routers are asked for a loan. A transaction usually takes less
 /// than 50 ms.
 constexpr milliseconds OwnTokensWait = 80ms;
+/// Most times that other routers are asked for a loan for one request, and the
+/// delay between them: the time in which lenders raise their ceilings.
+constexpr unsigned MaxLoanTries = 3;
+constexpr milliseconds LoanRetryDelay = 40ms;
 /// Retry-After when only other routers hold enough tokens: the time in which
 /// they return tokens that they do not need.
 constexpr milliseconds TokensElsewhereRetryAfter = 1500ms;
@@ -277,16 +281,20 @@
   bool MayBorrow =
       MayWait || Reservation.error() == budget::EscrowRefusal::HeldByOthers ||
       Reservation.error() == budget::EscrowRefusal::TableUnreachable;
-  if (!TokenWaitStart_) {
+  bool IsNew = !TokenWaitStart_;
+  if (IsNew)
     TokenWaitStart_ = Now;
-    if (Context_.OnTokensNeeded_)
-      Context_.Loop_.post(Context_.OnTokensNeeded_);
-  }
   if (MayWait && !LoanPending_ && Now - *TokenWaitStart_ < OwnTokensWait &&
-      Context_.Escrow_.awaitsCeiling(Account_->Account_, MaxTokens, Now))
+      remainingTime(Now) >= MaxTokenWait &&
+      Context_.Escrow_.awaitsCeiling(Account_->Account_, MaxTokens, Now)) {
+    if (IsNew && Context_.OnTokensNeeded_)
+      Context_.Loop_.post(Context_.OnTokensNeeded_);
     return false;
+  }
   if (LoanPending_ || (MayBorrow && startLoan(MaxTokens, Now)))
     return false;
+  if (MayBorrow && LoanTries_ > 0 && mayAskForLoan(Now))
+    return false;
   if (MayWait && Now - *TokenWaitStart_ < MaxTokenWait &&
       remainingTime(Now) >= MaxTokenWait) {
     if (Now == *TokenWaitStart_ && Context_.OnTokensNeeded_)
@@ -307,9 +315,18 @@
   return false;
 }
 
+bool ForwardedRequest::mayAskForLoan(base::TimePoint Now) const {
+  // In a large fleet, lenders raise their ceilings after the first try.
+  unsigned MaxTries = Context_.Escrow_.isLargeFleet() ? MaxLoanTries : 1;
+  return Context_.Loans_ && LoanTries_ < MaxTries &&
+         (LoanTries_ == 0 || (Now - *TokenWaitStart_ < MaxTokenWait &&
+                              remainingTime(Now) >= MaxTokenWait));
+}
+
 bool ForwardedRequest::startLoan(base::Tokens MaxTokens, base::TimePoint Now) {
-  if (!Context_.Loans_ || std::exchange(LoanTried_, true))
+  if (!mayAskForLoan(Now) || Now < NextLoanAt_)
     return false;
+  ++LoanTries_;
   budget::LoanRequest Request;
   Request.Account_ = Account_->Account_;
   Request.Bound_ = MaxTokens;
@@ -336,6 +353,7 @@
     return;
   }
   if (!Granted) {
+    NextLoanAt_ = Context_.Loop_.now() + LoanRetryDelay;
     retryReservation();
     return;
   }
@@ -453,9 +471,12 @@
 }
 
 void ForwardedRequest::placeAttempt() {
+  base::TimePoint Now = Context_.Loop_.now();
+  // Ends the request through onConnectionEnd().
+  if (Context_.lags(Now) && Exchange_->endIfCallerLeft())
+    return;
   if (refuseQuarantined())
     return;
-  base::TimePoint Now = Context_.Loop_.now();
   std::vector<base::EndpointId> Excluded = excludedEndpoints();
   routing::PlacementRequest PlacementRequest = makePlacementRequest(Excluded);
   auto Placement =
@@ -541,6 +562,10 @@
 
   net::OriginEvents Events;
   auto Weak = weak_from_this();
+  Events.MaySend_ = [Weak, Endpoint = Placement.Endpoint_] {
+    auto Self = Weak.lock();
+    return Self && Self->maySend(Endpoint);
+  };
   Events.OnHead_ = [Weak, Number = Sent.Number_](const net::OriginHead &Head) {
     auto Self = Weak.lock();
     return Self ? Self->onHead(Number, Head) : net::HeadVerdict::Skip;
@@ -580,6 +605,15 @@
   return Sent;
 }
 
+bool ForwardedRequest::maySend(const base::EndpointId &Endpoint) {
+  if (!Context_.lags(Context_.Loop_.now()))
+    return true;
+  if (Exchange_->endIfCallerLeft())
+    return false;
+  const ListedEndpoint *Target = Context_.Endpoints_.find(Endpoint);
+  return Target && !Context_.Evacuations_.contains(Target->Domain_);
+}
+
 bool ForwardedRequest::isSuccessor(unsigned Number) const {
   return Successor_ && Successor_->Number_ == Number;
 }
@@ -1180,6 +1214,8 @@
   // The last send is kept for the case that the current attempt breaks.
   if (Sends_ + 1 >= MaxSends)
     return;
+  if (Context_.lags(Now) && Exchange_->endIfCallerLeft())
+    return;
   // The next attempt may need as long as this one already took.
   if (Context_.EndsAt_ && Now + (Now - Attempt_.SentAt_) > *Context_.EndsAt_)
     return;
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -111,8 +111,10 @@
   /// Reserves the request's maximum number of tokens. Returns false if the
   /// request has to wait for tokens or was refused.
   bool reserveTokens();
+  /// Whether other routers may be asked for a loan, now or soon.
+  bool mayAskForLoan(base::TimePoint Now) const;
   /// Asks other routers for the tokens that this one lacks. Returns false if
-  /// there is nobody to ask, or they were asked already.
+  /// there is nobody to ask, or they may not be asked now.
   bool startLoan(base::Tokens MaxTokens, base::TimePoint Now);
   /// Handles the answer to startLoan().
   void onLoan(std::optional<TokenLoan> Granted);
@@ -124,6 +126,10 @@
   std::optional<Attempt>
   sendAttempt(const routing::Placement &Placement,
               const routing::PlacementRequest &PlacementRequest);
+  /// Whether an attempt that was started may still reach its endpoint. After a
+  /// pause of the process, the caller may have left, and the endpoint may be
+  /// leaving or evacuated.
+  bool maySend(const base::EndpointId &Endpoint);
   /// Makes an attempt the current one.
   void useAttempt(Attempt Sent);
   /// Lists the endpoints that must not get the next attempt: those of earlier
@@ -277,7 +283,10 @@
   std::optional<base::TimePoint> TokenWaitStart_;
   /// Whether other routers were asked for a loan, and not all have answered.
   bool LoanPending_ = false;
-  bool LoanTried_ = false;
+  /// How often other routers were asked for a loan.
+  unsigned LoanTries_ = 0;
+  /// When they may be asked again.
+  base::TimePoint NextLoanAt_{};
   /// The loan that covers this request, if any.
   std::optional<TokenLoan> Loan_;
   base::Tokens ReservedTokens_;
--- a/daemons/direct/forwarding.h
+++ b/daemons/direct/forwarding.h
@@ -17,6 +17,7 @@
 #include "camphorwind/net/origin-client.h"
 #include "camphorwind/observe/metrics.h"
 #include "camphorwind/routing/direct-pool.h"
+#include "camphorwind/routing/host-load.h"
 #include "camphorwind/routing/limit-claims.h"
 #include "camphorwind/routing/pause.h"
 #include "camphorwind/routing/quarantine.h"
@@ -82,14 +83,20 @@
   void limitResponseBytes();
   /// Takes the changes of Endpoints_ over into the pools.
   void applyEndpointChanges();
-  /// Takes the changes of Evacuations_ over into the pools.
+  /// Closes idle connections to evacuated endpoints, and keeps requests away
+  /// from them.
   void applyEvacuationChanges();
-  /// Takes over what the current configuration says of the pools' endpoints.
+  /// Applies the configured cold limits and slow start to the pools.
   void applyPoolLimits();
   /// Logs a header that can't be parsed, at most once a minute for each
   /// endpoint and header.
   void logMalformedHeader(const base::EndpointId &Endpoint,
                           std::string_view Header, std::string_view Request);
+  /// Whether the router may have missed what has happened to its callers.
+  bool lags(base::TimePoint Now) const {
+    constexpr std::chrono::milliseconds NoticeableLag{50};
+    return Load_.lag(Now) >= NoticeableLag;
+  }
   /// Whether a request that arrives now is refused because of a stop.
   bool refusesNew(base::TimePoint Now) const {
     return RefusesFrom_ && Now >= *RefusesFrom_;
@@ -139,6 +146,9 @@
   /// When the configuration source became unreachable; unset while reachable.
   std::optional<base::TimePoint> SourceLostAt_;
   routing::Pause Pause_;
+  routing::HostLoad Load_{Loop_.now()};
+  /// Reads of the budget table, in which this router counts the others.
+  routing::FleetCount Count_;
   /// When a malformed header was last logged, by endpoint and header.
   std::map<std::pair<base::EndpointId, std::string>, base::TimePoint>
       MalformedLoggedAt_;
--- a/daemons/direct/settings.h
+++ b/daemons/direct/settings.h
@@ -41,6 +41,8 @@
   /// Whether endpoints crash when the requests that they hold exceed their
   /// memory.
   bool EndpointsHaveMemoryLimit_ = false;
+  /// Share of a processor core that the host has; 1 if it is not known.
+  double CpuShare_ = 1;
   /// How long requests are accepted after SIGTERM, until the load balancer has
   /// noticed: it polls every second and needs two failed polls. Requests that
   /// arrive later could not finish within ShutdownTimeout_. A busy process
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <chrono>
 #include <deque>
@@ -292,9 +293,12 @@
 
 class DirectRouterTest : public testing::Test {
 protected:
+  explicit DirectRouterTest(double CpuShare)
+      : DirectRouterTest(100ms, DirectSettings().MaxResponseBytes_, CpuShare) {}
   explicit DirectRouterTest(
       std::chrono::milliseconds DrainDelay = 100ms,
-      std::size_t MaxResponseBytes = DirectSettings().MaxResponseBytes_)
+      std::size_t MaxResponseBytes = DirectSettings().MaxResponseBytes_,
+      double CpuShare = DirectSettings().CpuShare_)
       : Loop_(std::move(net::Loop::create().value())), Caller_(*Loop_, {}) {
     budget::EscrowSettings EscrowOptions;
     EscrowOptions.Router_ = base::RouterId("r");
@@ -308,6 +312,7 @@
     Settings.DrainDelay_ = DrainDelay;
     Settings.ShutdownTimeout_ = 2s;
     Settings.MaxResponseBytes_ = MaxResponseBytes;
+    Settings.CpuShare_ = CpuShare;
     Listen_ = Settings.Listen_;
     ReadinessListen_ = Settings.ReadinessListen_;
     Router_ =
@@ -1960,7 +1965,8 @@
   Evacuate.start(100ms);
   Response = fetch(makeCall());
   EXPECT_EQ(receivedRequests(), 1u);
-  EXPECT_GE(Response.Status_, 500u);
+  // Not 503: the request has run.
+  EXPECT_EQ(Response.Status_, 502u);
 }
 
 // Guards against pools that are first used after the evacuation began.
@@ -2007,6 +2013,15 @@
 
   /// Whether the router has answered, or has begun to.
   bool hasAnswer() const { return awaitEvents(POLLIN, 0) != 0; }
+  /// Returns the status of the answer, 0 if there is none.
+  unsigned status() const {
+    std::array<char, 12> Line{};
+    if (!hasAnswer() || ::recv(Socket_.fd(), Line.data(), Line.size(), 0) !=
+                            static_cast<ssize_t>(Line.size()))
+      return 0;
+    return static_cast<unsigned>(
+        std::stoul(std::string(Line.data() + 9, Line.size() - 9)));
+  }
   /// Whether the router has ended the connection.
   bool isEnded() const {
     return (awaitEvents(POLLRDHUP, 0) & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
@@ -2022,6 +2037,72 @@
   net::Socket Socket_;
 };
 
+/// Guards against requests that are sent to endpoints although their callers
+/// left while the router did not run.
+TEST_F(DirectRouterTest, RequestOfACallerThatLeftDuringAPauseIsNotSent) {
+  configure(RequestKind::NonIdempotent);
+  FakeEndpoint &Target = addEndpoint();
+  // Requests on a kept connection are sent without a further turn of the loop.
+  ASSERT_EQ(fetch(makeCall()).Status_, 200u);
+  {
+    RawCaller Caller(Listen_);
+    wait(60ms);
+    Caller.send("POST /orders/7 HTTP/1.1\r\nHost: shop.example\r\n"
+                "Authorization: Bearer secret\r\nX-Attempt-Id: a1\r\n"
+                "X-Time-Left-Ms: 9000\r\nContent-Length: 4\r\n\r\nbody");
+  }
+  std::this_thread::sleep_for(400ms);
+  wait(300ms);
+  EXPECT_EQ(Target.Requests_.size(), 1u);
+  EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+}
+
+/// A host that did not run for a while, and a request that has waited for it.
+struct LaggingHostCase {
+  std::string_view Name_;
+  double CpuShare_ = 1;
+  std::chrono::milliseconds Pause_{0};
+  unsigned Status_ = 200;
+};
+
+std::ostream &operator<<(std::ostream &Out, const LaggingHostCase &Value) {
+  return Out << Value.Name_;
+}
+
+class LaggingHostTest : public DirectRouterTest,
+                        public testing::WithParamInterface<LaggingHostCase> {
+protected:
+  LaggingHostTest() : DirectRouterTest(GetParam().CpuShare_) {}
+};
+
+/// Guards against a small host that serves a backlog of requests which are all
+/// late, and against larger ones that refuse what they could serve.
+TEST_P(LaggingHostTest, SmallHostRefusesRequestsThatAreLateAlready) {
+  configure(RequestKind::Idempotent);
+  addEndpoint();
+  ASSERT_EQ(fetch(makeCall()).Status_, 200u);
+  RawCaller Caller(Listen_);
+  wait(60ms);
+  Caller.send("POST /orders/7 HTTP/1.1\r\nHost: shop.example\r\n"
+              "Authorization: Bearer secret\r\nX-Attempt-Id: a2\r\n"
+              "X-Time-Left-Ms: 9000\r\nContent-Length: 4\r\n\r\nbody");
+  std::this_thread::sleep_for(GetParam().Pause_);
+  wait(100ms);
+  CallerResponse Next = fetch(makeCall());
+  EXPECT_EQ(Next.Status_, GetParam().Status_);
+  EXPECT_EQ(Next.Headers_.find("Retry-After").has_value(), Next.Status_ == 503);
+  EXPECT_EQ(Caller.status(), GetParam().Status_);
+  wait(2s);
+  EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Hosts, LaggingHostTest,
+    testing::Values(LaggingHostCase{"small_host_behind", 0.07, 2000ms, 503},
+                    LaggingHostCase{"small_host_in_time", 0.07, 0ms, 200},
+                    LaggingHostCase{"large_host_behind", 0.5, 2000ms, 200}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 /// What keeps a router from noticing that a request has reached its route's
 /// timeout.
 struct RouteTimeoutCase {
--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -82,6 +82,10 @@
   virtual std::size_t buffered() const = 0;
   /// True once the caller is gone or the answer is out.
   virtual bool closed() const = 0;
+  /// Looks whether the caller has left although the loop has not read that yet,
+  /// and ends the connection in that case, as if it had been read. Returns
+  /// whether the connection has ended.
+  virtual bool endIfCallerLeft() = 0;
   /// \p Callback runs once if the connection ends before the answer is out.
   virtual void onHangup(std::function<void(ConnectionEnd)> Callback) = 0;
   /// \p Callback runs whenever the connection has taken buffered bytes.
--- a/libs/net/include/camphorwind/net/http.h
+++ b/libs/net/include/camphorwind/net/http.h
@@ -48,6 +48,9 @@
   /// Time for which the header section had waited in the socket by then; 0 if
   /// the system does not tell.
   std::chrono::milliseconds SocketWait_{0};
+  /// The caller sent the request before it had the answer to the one before, so
+  /// that SocketWait_ is not this server's doing.
+  bool Pipelined_ = false;
 
   /// When the header section reached this host.
   base::TimePoint arrivedAt() const { return HeadReadAt_ - SocketWait_; }
--- a/libs/net/include/camphorwind/net/origin-client.h
+++ b/libs/net/include/camphorwind/net/origin-client.h
@@ -85,6 +85,10 @@
   std::function<void(std::string_view Data)> OnBody_;
   /// Success once the answer is whole.
   std::function<void(base::Result<void, OriginError>)> OnEnd_;
+  /// Asked right before the first byte of the request is sent, which may be
+  /// long after start() if the process has paused. Unless it returns true, the
+  /// request ends as if no connection could be made. May cancel the request.
+  std::function<bool()> MaySend_;
 };
 
 struct OriginClientLimits {
--- a/libs/net/src/http-connection.cpp
+++ b/libs/net/src/http-connection.cpp
@@ -135,6 +135,9 @@
     return closed() ? 0 : Connection_->buffered();
   }
   bool closed() const override { return Connection_ == nullptr; }
+  bool endIfCallerLeft() override {
+    return closed() || connection()->endIfCallerLeft();
+  }
   void onHangup(std::function<void(ConnectionEnd)> Callback) override {
     OnHangup_ = std::move(Callback);
   }
@@ -206,6 +209,16 @@
   release(How);
 }
 
+bool Connection::endIfCallerLeft() {
+  // Also reported behind data that was not read.
+  pollfd Query{Socket_.fd(), POLLRDHUP, 0};
+  if (::poll(&Query, 1, 0) <= 0)
+    return false;
+  bool Reset = (Query.revents & (POLLERR | POLLNVAL)) != 0;
+  end(Reset ? ConnectionEnd::CallerReset : ConnectionEnd::CallerClosed);
+  return true;
+}
+
 bool Connection::hasUnreadInput() const {
   return !Input_.empty() || isReadable();
 }
@@ -326,6 +339,7 @@
   Request_ = {};
   Request_.HeadReadAt_ = Core_.Owner_.now();
   Request_.SocketWait_ = timeSinceLastData(Socket_.fd());
+  Request_.Pipelined_ = std::exchange(HasPipelinedInput_, false);
   Request_.Method_ = std::move(Head.Method_);
   Request_.Target_ = std::move(Head.Target_);
   Request_.Headers_ = std::move(Head.Headers_);
@@ -590,6 +604,7 @@
   }
   becomeIdle();
   watch();
+  HasPipelinedInput_ = !Input_.empty();
   if (Input_.empty() || Parsing_)
     return;
   Core_.Owner_.post([Weak = weak_from_this()] {
--- a/libs/net/src/http-connection.h
+++ b/libs/net/src/http-connection.h
@@ -84,6 +84,8 @@
   /// Closes the connection. The application of a request in progress is told
   /// \p How.
   void end(ConnectionEnd How);
+  /// See HttpExchange::endIfCallerLeft().
+  bool endIfCallerLeft();
   /// Whether input waits to be parsed, or data or an end of data in the socket.
   bool hasUnreadInput() const;
   /// Whether data, or an end of data, waits in the socket.
@@ -166,6 +168,8 @@
   bool EndOfData_ = false;
 
   HttpRequest Request_;
+  /// Input of the next request was there when the answer was out.
+  bool HasPipelinedInput_ = false;
   std::shared_ptr<Exchange> Exchange_;
   /// Limit that was in force when the request began.
   std::size_t BodyLimit_ = 0;
--- a/libs/net/src/origin-client.cpp
+++ b/libs/net/src/origin-client.cpp
@@ -335,6 +335,8 @@
 
   /// Sends what the socket takes. Returns false if the connection is gone.
   bool send(const ConnectionPtr &Self) {
+    if (Self->HeadSent_ == 0 && !maySend(Self))
+      return false;
     while (!Self->sentWhole()) {
       bool InHead = Self->HeadSent_ < Self->Head_.size();
       const std::string &From =
@@ -358,6 +360,17 @@
     return true;
   }
 
+  /// Ends the request, if there still is one, unless it may be sent.
+  bool maySend(const ConnectionPtr &Self) {
+    std::shared_ptr<OriginCall> Call = Self->Call_;
+    if (!Call->Events_.MaySend_ || Call->Events_.MaySend_())
+      return !Self->Dead_ && Self->Call_;
+    if (!Self->Dead_ && Self->Call_)
+      end(Self, OriginError{OriginErrorKind::NotConnected, false,
+                            "no longer to be sent"});
+    return false;
+  }
+
   void onSendError(const ConnectionPtr &Self, int Error) {
     // An answer may have arrived before the peer stopped reading.
     if (Self->HeadSent_ > 0) {
--- a/libs/routing/include/camphorwind/routing/cold-limits.h
+++ b/libs/routing/include/camphorwind/routing/cold-limits.h
@@ -13,6 +13,29 @@
 
 namespace camphorwind::routing {
 
+/// When a router has counted the others by their rows in a common table.
+class FleetCount {
+public:
+  /// Age of the last read from which the others may not count this router any
+  /// more.
+  static constexpr std::chrono::milliseconds MaxReadAge{2000};
+  /// Time of regular reads after which all others count this router.
+  static constexpr std::chrono::milliseconds EstablishTime{2500};
+
+  /// Records a read; repeating the last one has no effect.
+  void add(base::TimePoint CountedAt);
+  /// Whether all others count this router now.
+  bool isCounted(base::TimePoint Now) const;
+  /// Whether all others counted this router at any time.
+  bool wasCounted() const { return WasCounted_; }
+
+private:
+  std::optional<base::TimePoint> CountedAt_;
+  /// First of the reads up to CountedAt_ that follow each other closely.
+  base::TimePoint CountedSince_{};
+  bool WasCounted_ = false;
+};
+
 /// This router's share of the requests that cold endpoints take from all
 /// routers together within any one second.
 ///
@@ -25,10 +48,6 @@
 /// one request, routers take turns.
 class ColdLimits {
 public:
-  /// Age of the last read from which this router may not be counted any more.
-  static constexpr std::chrono::milliseconds MaxReadAge{2000};
-  /// Time of regular reads after which all other routers count this one.
-  static constexpr std::chrono::milliseconds EstablishTime{2500};
   /// Duration of one turn. A window of one second touches at most two turns,
   /// also by clocks that differ by 100 ms.
   static constexpr std::chrono::milliseconds TurnTime{1250};
@@ -38,10 +57,10 @@
   /// Sets how many requests a cold endpoint takes within one second, and how
   /// long it stays cold after its start; 0 requests for no limit.
   void setLimit(double Requests, base::Duration ColdTime);
-  /// Takes over the place of this router among those that were counted at
-  /// \p CountedAt, and what to add to its clock for the clock of the fleet.
+  /// Takes over the place of this router among those that it has counted, and
+  /// what to add to its clock for the clock of the fleet.
   void setPlace(FleetPlace Place, FleetTime ClockOffset,
-                std::optional<base::TimePoint> CountedAt);
+                const FleetCount &Count);
 
   /// Records that the endpoint is cold until \p Until, as it states itself.
   void setColdUntil(const base::EndpointId &Endpoint, base::TimePoint Until);
@@ -66,7 +85,6 @@
     std::deque<base::TimePoint> Sent_;
   };
 
-  bool isCounted(base::TimePoint Now) const;
   base::Duration waitForTurn(const base::EndpointId &Id, std::size_t Part,
                              base::TimePoint Now) const;
 
@@ -75,11 +93,7 @@
   base::Duration ColdTime_{0};
   FleetPlace Place_;
   FleetTime ClockOffset_{0};
-  std::optional<base::TimePoint> CountedAt_;
-  /// First of the reads up to CountedAt_ that follow each other closely.
-  base::TimePoint CountedSince_{};
-  /// Whether this router was counted by all others at any time.
-  bool KnowsFleet_ = false;
+  FleetCount Count_;
   std::unordered_map<base::EndpointId, ColdState> Endpoints_;
 };
 
--- a/libs/routing/src/cold-limits.cpp
+++ b/libs/routing/src/cold-limits.cpp
@@ -20,6 +20,18 @@
 
 } // namespace
 
+void FleetCount::add(base::TimePoint CountedAt) {
+  if (!CountedAt_ || CountedAt - *CountedAt_ > MaxReadAge)
+    CountedSince_ = CountedAt;
+  CountedAt_ = CountedAt;
+  WasCounted_ = WasCounted_ || CountedAt - CountedSince_ >= EstablishTime;
+}
+
+bool FleetCount::isCounted(base::TimePoint Now) const {
+  return CountedAt_ && Now - *CountedAt_ <= MaxReadAge &&
+         *CountedAt_ - CountedSince_ >= EstablishTime;
+}
+
 void ColdLimits::setLimit(double Requests, base::Duration ColdTime) {
   Limit_ = static_cast<std::size_t>(
       std::floor(std::clamp(Requests, 0.0, MaxLimit)));
@@ -27,14 +39,10 @@
 }
 
 void ColdLimits::setPlace(FleetPlace Place, FleetTime ClockOffset,
-                          std::optional<base::TimePoint> CountedAt) {
+                          const FleetCount &Count) {
   Place_ = Place;
   ClockOffset_ = ClockOffset;
-  if (CountedAt && (!CountedAt_ || *CountedAt - *CountedAt_ > MaxReadAge))
-    CountedSince_ = *CountedAt;
-  CountedAt_ = CountedAt;
-  KnowsFleet_ = KnowsFleet_ ||
-                (CountedAt && *CountedAt - CountedSince_ >= EstablishTime);
+  Count_ = Count;
 }
 
 void ColdLimits::setColdUntil(const base::EndpointId &Endpoint,
@@ -56,21 +64,16 @@
   return Now < Found->second.ColdUntil_ || (Since && Now < *Since + ColdTime_);
 }
 
-bool ColdLimits::isCounted(base::TimePoint Now) const {
-  return CountedAt_ && Now - *CountedAt_ <= MaxReadAge &&
-         *CountedAt_ - CountedSince_ >= EstablishTime;
-}
-
 base::Duration ColdLimits::wait(const base::EndpointId &Endpoint,
                                 base::TimePoint Now) const {
   if (!isCold(Endpoint, Now))
     return base::Duration::zero();
   // The others may not count this router yet, and it may not know them all.
-  if (!KnowsFleet_)
+  if (!Count_.wasCounted())
     return TurnTime;
   auto Uncounted =
       static_cast<std::size_t>(UncountedShare * static_cast<double>(Limit_));
-  std::size_t Part = isCounted(Now) ? Limit_ - Uncounted : Uncounted;
+  std::size_t Part = Count_.isCounted(Now) ? Limit_ - Uncounted : Uncounted;
   if (Part < Place_.Routers_)
     return waitForTurn(Endpoint, Part, Now);
   std::size_t Own = Part / Place_.Routers_ +
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -48,8 +48,10 @@
 /// many times a second; the latest one alone would send the requests of all
 /// routers to the same endpoint.
 constexpr Milliseconds WorkTimeAveragingTime{1000};
-/// Weight of one stated work time at least.
+/// Bounds of the weight of one stated work time. The upper one holds for routers
+/// that hear of an endpoint only every few seconds.
 constexpr double MinWorkTimeWeight = 0.05;
+constexpr double MaxWorkTimeWeight = 0.3;
 constexpr double MinWorkTime = 0.2;
 constexpr double MaxWorkTime = 20;
 /// Part of an endpoint's memory that the requests of all routers may fill, with
@@ -205,6 +207,10 @@
     double Held = static_cast<double>(Target.HeldTokens_) +
                   Others * MeanRequestTokens_ +
                   static_cast<double>(tokensOf(Request));
+    // An idle endpoint rejects by itself what it can't run.
+    constexpr double NoRequest = 0.5;
+    if (Target.InFlight_ == 0 && Others < NoRequest)
+      return false;
     return Held >
            HeldTokensShare * static_cast<double>(Target.Traits_.CacheTokens_);
   }
@@ -407,6 +413,8 @@
   /// Evacuated failure domains, each with the time until which prompt parts may
   /// be copied from it.
   std::unordered_map<base::FailureDomainId, base::TimePoint> Evacuated_;
+  /// When the last evacuation of a failure domain ended.
+  std::unordered_map<base::FailureDomainId, base::TimePoint> EvacuationEndedAt_;
   /// Whether an endpoint of the pool has stated how long work takes.
   bool StatesWorkTime_ = false;
   /// Whether an answer of the pool was whole, so that endpoints which are added
@@ -451,6 +459,9 @@
   Impl_->Ejector_.setServing(Created->Index_, true);
   if (Impl_->HasServed_)
     Impl_->beginSlowStart(*Created);
+  if (auto Ended = Impl_->EvacuationEndedAt_.find(Settings.Domain_);
+      Ended != Impl_->EvacuationEndedAt_.end())
+    Impl_->ColdLimits_.setUnknown(Settings.Endpoint_, Ended->second);
   Impl_->Endpoints_.emplace(Settings.Endpoint_, std::move(Created));
 }
 
@@ -479,6 +490,7 @@
 void DirectPool::endEvacuation(const base::FailureDomainId &Domain,
                                base::TimePoint Now) {
   Impl_->Evacuated_.erase(Domain);
+  Impl_->EvacuationEndedAt_.insert_or_assign(Domain, Now);
   for (auto &[Id, Each] : Impl_->Endpoints_) {
     if (Each->Traits_.Domain_ != Domain)
       continue;
@@ -624,9 +636,10 @@
     return;
   Impl_->StatesWorkTime_ = true;
   double Previous = Impl_->workTime(*Target, Now);
-  double Weight = std::max(
-      MinWorkTimeWeight, 1 - std::exp(-Milliseconds(Now - Target->WorkTimeAt_) /
-                                      WorkTimeAveragingTime));
+  double Weight = std::clamp(
+      1 - std::exp(-Milliseconds(Now - Target->WorkTimeAt_) /
+                   WorkTimeAveragingTime),
+      MinWorkTimeWeight, MaxWorkTimeWeight);
   double Stated = std::clamp(*Load.WorkTime_, MinWorkTime, MaxWorkTime);
   Target->WorkTime_ = Previous + Weight * (Stated - Previous);
   Target->WorkTimeAt_ = Now;
--- a/libs/routing/test/cold-limits-test.cpp
+++ b/libs/routing/test/cold-limits-test.cpp
@@ -58,6 +58,7 @@
   std::mt19937 Random(7);
   std::size_t All = Case.Routers_ + Case.Joining_;
   std::vector<ColdLimits> Routers(All);
+  std::vector<FleetCount> Counts(All);
   std::vector<milliseconds> ReadPhase(All);
   std::vector<milliseconds> ClockError(All);
   // When each router last wrote to the table that all read.
@@ -97,7 +98,8 @@
           ++Place.Routers_;
           Place.Index_ += Other < Each ? 1 : 0;
         }
-        Routers[Each].setPlace(Place, ClockError[Each], At);
+        Counts[Each].add(At);
+        Routers[Each].setPlace(Place, ClockError[Each], Counts[Each]);
       }
       while (Routers[Each].wait(Engine, At) == base::Duration::zero()) {
         Routers[Each].sent(Engine, At);
--- a/libs/routing/test/direct-pool-limits-test.cpp
+++ b/libs/routing/test/direct-pool-limits-test.cpp
@@ -86,6 +86,19 @@
   EXPECT_EQ(send(), engine(0));
 }
 
+// Guards against an endpoint that is listed again only after the evacuation of
+// its domain has ended.
+TEST_F(DirectPoolLimitsTest, EndpointThatIsAddedAfterAnEvacuationIsCold) {
+  Pool_.coldLimits().setLimit(30.5, 3s);
+  Pool_.evacuate(North, Now_);
+  Pool_.endEvacuation(North, Now_);
+  Now_ += 1s;
+  add(0, North);
+  EXPECT_TRUE(Pool_.coldLimits().isCold(engine(0), Now_));
+  Now_ += 2s;
+  EXPECT_FALSE(Pool_.coldLimits().isCold(engine(0), Now_));
+}
+
 TEST_F(DirectPoolLimitsTest, PromptsOfAnEvacuatedDomainAreCopiedForAWhile) {
   add(0, North);
   send();
@@ -101,10 +114,12 @@
 TEST_F(DirectPoolLimitsTest, EndpointsThatComeBackFromAnEvacuationAreCold) {
   add(0, North);
   Pool_.coldLimits().setLimit(30.5, 3s);
+  FleetCount Count;
   for (int Read = 0; Read < 4; ++Read) {
-    Pool_.coldLimits().setPlace({1, 0}, FleetTime(0), Now_);
+    Count.add(Now_);
     Now_ += 1s;
   }
+  Pool_.coldLimits().setPlace({1, 0}, FleetTime(0), Count);
   Pool_.evacuate(North, Now_);
   Pool_.endEvacuation(North, Now_);
   std::size_t Sent = 0;
@@ -135,6 +150,18 @@
   EXPECT_EQ(send(), engine(0));
 }
 
+// Guards against a request that is refused for ever although an idle endpoint
+// could run it.
+TEST_F(DirectPoolLimitsTest, IdleEndpointTakesARequestThatNearlyFillsIt) {
+  DirectPoolOptions Options;
+  Options.LimitHeldTokens_ = true;
+  use(Options);
+  add(0, North);
+  PlacementRequest Request = request();
+  Request.PromptTokens_ = MemoryTokens * 97 / 100;
+  EXPECT_TRUE(Pool_.choose(Request, Now_));
+}
+
 // Guards against memory that is filled by several routers, each of which sees
 // only its own requests.
 TEST_F(DirectPoolLimitsTest, RequestsOfOtherRoutersCountForTheMemory) {
@@ -164,11 +191,12 @@
   EXPECT_EQ(Burst[engine(0)], 29);
 }
 
-/// Work times that an endpoint states one after the other, 10 ms apart.
+/// Work times that an endpoint states one after the other.
 struct WorkTimeCase {
   std::string Name_;
   std::vector<double> Stated_;
   int Repeats_ = 1;
+  base::Duration Interval_ = 10ms;
   /// Bounds of the expected time, as a multiple of the usual one.
   double AtLeast_ = 0;
   double AtMost_ = 0;
@@ -182,7 +210,7 @@
                      public testing::WithParamInterface<WorkTimeCase> {};
 
 // Guards against endpoints on busy hosts that are chosen as if they were fast,
-// and against all routers running to whichever stated the lowest figure last.
+// and against all routers choosing the endpoint with the lowest last report.
 TEST_P(WorkTimeTest, StatedWorkTimeScalesTheExpectedTime) {
   add(0, North);
   Pool_.setPlace({1, 0}, FleetTime(0), Now_);
@@ -195,7 +223,7 @@
   double Usual = Expected().count();
   for (int Repeat = 0; Repeat < GetParam().Repeats_; ++Repeat) {
     for (double Each : GetParam().Stated_) {
-      Now_ += 10ms;
+      Now_ += GetParam().Interval_;
       Pool_.loadReported(LastAttempt_, {1, 0, Each}, Now_);
     }
   }
@@ -205,12 +233,16 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Figures, WorkTimeTest,
-    testing::Values(WorkTimeCase{"usual", {1}, 100, 0.9, 1.1},
-                    WorkTimeCase{"slow_for_long", {2.5}, 400, 2, 2.6},
-                    WorkTimeCase{"one_high_figure", {1, 1, 1, 1, 2.5}, 1, 0.9,
-                                 1.2},
-                    WorkTimeCase{"swinging", {0.5, 2.5}, 200, 1.2, 1.8},
-                    WorkTimeCase{"absurd", {1e9}, 400, 2, 25}),
+    testing::Values(WorkTimeCase{"usual", {1}, 100, 10ms, 0.9, 1.1},
+                    WorkTimeCase{"slow_for_long", {2.5}, 400, 10ms, 2, 2.6},
+                    WorkTimeCase{"one_high_figure", {1, 1, 1, 1, 2.5}, 1, 10ms,
+                                 0.9, 1.2},
+                    WorkTimeCase{"swinging", {0.5, 2.5}, 200, 10ms, 1.2, 1.8},
+                    WorkTimeCase{"first_figure", {2.5}, 1, 10ms, 0.9, 1.5},
+                    WorkTimeCase{"rare_reports", {1, 1, 2.5}, 1, 2s, 0.9, 1.5},
+                    WorkTimeCase{"slow_in_rare_reports", {2.5}, 40, 500ms, 1.8,
+                                 2.6},
+                    WorkTimeCase{"absurd", {1e9}, 400, 10ms, 2, 25}),
     [](const auto &Info) { return Info.param.Name_; });
 
 } // namespace
