Limit the memory that the callers' server holds for requests

Unfinished bodies were bounded only one by one, their strings doubled, and refused requests kept their buffers while their connections lingered: a string that is assigned an empty one keeps its capacity. RequestMemory counts heads, unparsed input and bodies by capacity, and requests that the handler has until they are destroyed. Beyond the limit, the unfinished request with the largest product of bytes and time without progress gets 503, and the handler never sees it. A part is reserved for small requests. When all connections are taken, requests without progress for 1 s make room. Without a limit in its settings, a server works as before.

Bodies grow to twice their capacity, at most to the announced length, or by a quarter if their length is not announced.

--- a/daemons/common/refusals.cpp
+++ b/daemons/common/refusals.cpp
@@ -128,6 +128,7 @@
   constexpr unsigned BadRequest = 400;
   constexpr unsigned RequestTimeout = 408;
   constexpr unsigned HeadersTooLarge = 431;
+  constexpr unsigned ServiceUnavailable = 503;
   switch (Status) {
   case BadRequest:
     return RefusalReason::MalformedRequest;
@@ -135,6 +136,8 @@
     return RefusalReason::BodyTooLate;
   case HeadersTooLarge:
     return RefusalReason::HeadersTooLarge;
+  case ServiceUnavailable:
+    return RefusalReason::MemoryLimit;
   default:
     return RefusalReason::BodyTooLarge;
   }
--- a/daemons/common/refusals.h
+++ b/daemons/common/refusals.h
@@ -27,7 +27,7 @@
 unsigned httpStatusOf(base::RefusalReason Reason);
 
 /// Returns the reason for \p Status if a server refuses a request with it that
-/// it has not read whole: 400, 408, 413 or 431.
+/// it has not read whole: 400, 408, 413, 431 or 503.
 base::RefusalReason reasonOfUnread(unsigned Status);
 
 /// Returns the OpenAI error object, with `code` and `ran`, as JSON text.
--- a/libs/net/include/camphorwind/net/http-server.h
+++ b/libs/net/include/camphorwind/net/http-server.h
@@ -5,6 +5,7 @@
 #include "camphorwind/base/time.h"
 #include "camphorwind/net/http.h"
 #include "camphorwind/net/loop.h"
+#include "camphorwind/net/request-memory.h"
 #include "camphorwind/net/socket.h"
 
 #include <chrono>
@@ -27,8 +28,14 @@
   /// A larger header section is answered 431.
   std::uint32_t HeaderBytes_ = 32U * 1024;
   /// Beyond it, or when the system has no room for more, the connection that
-  /// is idle for longest makes room for a new one.
+  /// is idle for longest makes room for a new one. With a limit on the memory
+  /// for requests, so do unfinished requests without progress, which are
+  /// answered 503.
   unsigned Connections_ = 4096;
+  /// Bytes held for requests: unfinished ones, and whole ones until the
+  /// application has destroyed them. Beyond it, unfinished requests are
+  /// answered 503; the application never sees them.
+  RequestMemoryLimits RequestMemory_;
   /// An idle connection is closed after this time.
   std::chrono::milliseconds IdleTimeout_{75000};
   /// A request whose header section is not whole after this time is answered
@@ -96,7 +103,7 @@
     std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
 
 /// Makes the answers that the server gives by itself; \p Status is 400, 408,
-/// 413 or 431.
+/// 413, 431 or 503.
 using HttpErrorAnswer = std::function<HttpAnswer(unsigned Status)>;
 
 /// Returns how long the caller may take to send the body that belongs to
@@ -136,6 +143,8 @@
   /// Number of requests whose answer is not out, or behind which a connection
   /// is still being closed.
   std::size_t inProgress() const;
+  /// Bytes held for requests; see HttpServerLimits::RequestMemory_.
+  std::size_t requestBytes() const;
 
 private:
   struct Impl;
--- a/libs/net/include/camphorwind/net/http.h
+++ b/libs/net/include/camphorwind/net/http.h
@@ -4,6 +4,7 @@
 #include "camphorwind/base/time.h"
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,8 @@
   const std::vector<std::pair<std::string, std::string>> &fields() const {
     return Fields_;
   }
+  /// Returns the memory that the fields take.
+  std::size_t memoryBytes() const;
 
 private:
   std::vector<std::pair<std::string, std::string>> Fields_;
@@ -51,6 +54,9 @@
   /// The caller sent the request before it had the answer to the one before, so
   /// that SocketWait_ is not this server's doing.
   bool Pipelined_ = false;
+  /// Counts the request's memory for its server until the last copy is
+  /// destroyed.
+  std::shared_ptr<void> Charge_ = nullptr;
 
   /// When the header section reached this host.
   base::TimePoint arrivedAt() const { return HeadReadAt_ - SocketWait_; }
--- a/libs/net/src/http-connection.cpp
+++ b/libs/net/src/http-connection.cpp
@@ -24,6 +24,7 @@
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned ContentTooLarge = 413;
 constexpr unsigned HeadersTooLarge = 431;
+constexpr unsigned ServiceUnavailable = 503;
 
 /// Most bytes read over the limit of a body only to answer 413.
 constexpr std::size_t MaxDiscardedBytes = 16UL * 1024 * 1024;
@@ -37,6 +38,26 @@
 constexpr std::size_t MaxJoinedBody = 16UL * 1024;
 /// Larger buffers are released while a connection is idle.
 constexpr std::size_t MaxIdleBuffer = 1024;
+/// Room that a body of unknown length gets at first.
+constexpr std::size_t MinBodyCapacity = 16UL * 1024;
+
+/// Returns the capacity for a body that has \p Capacity and needs more.
+std::size_t grownCapacity(std::size_t Capacity, std::size_t Needed,
+                          std::optional<std::size_t> Announced,
+                          std::size_t Limit) {
+  // The last step of an announced length is exact, so that large steps waste
+  // nothing.
+  constexpr std::size_t ChunkedShare = 4;
+  std::size_t Step = Announced ? Capacity : Capacity / ChunkedShare;
+  std::size_t Grown = std::max({Needed, Capacity + Step, MinBodyCapacity});
+  return std::max(Needed, std::min(Grown, Announced.value_or(Limit)));
+}
+
+/// Resets a value and frees its memory. A string that is assigned an empty one
+/// keeps its buffer.
+template <class T> void freeMemory(T &Value) {
+  [[maybe_unused]] T Freed = std::exchange(Value, T());
+}
 
 std::string decodeArgument(std::string_view Text) {
   std::string Encoded(Text);
@@ -202,6 +223,7 @@
   Timer_.stop();
   Socket_.close();
   Charge_.reset();
+  Core_.Memory_.release(this);
   Core_.Connections_.erase(this);
   Core_.resumeAccepting();
   if (Core_.OnConnectionEnd_)
@@ -267,10 +289,13 @@
       onEndOfData();
       return;
     }
-    if (Phase_ == Phase::Lingering)
+    if (Phase_ == Phase::Lingering || Refused_)
       continue;
     Input_.append(Buffer.data(), static_cast<std::size_t>(Got));
     parse();
+    if (Phase_ == Phase::Answering && !Input_.empty() && !Refused_ &&
+        !Core_.hold(*this, Input_.capacity()))
+      makeRoom();
     if (Phase_ == Phase::Closed)
       return;
     if (static_cast<std::size_t>(Got) < Buffer.size() ||
@@ -299,8 +324,10 @@
     if (!Parser_) {
       // Empty lines before a request are ignored.
       Input_.erase(0, Input_.find_first_not_of("\r\n"));
-      if (Input_.empty())
+      if (Input_.empty()) {
+        Core_.Memory_.release(this);
         break;
+      }
       Parser_ =
           std::make_unique<RequestParser>(Core_.Limits_.HeaderBytes_, *this);
       IsHttp10_ = false;
@@ -308,8 +335,12 @@
       setPhase(Phase::ReadingHead);
     }
     ParseState State = Parser_->put(Input_);
+    trimInput();
     if (State == ParseState::NeedMore) {
-      limitBodyTime();
+      if (holdRequest(Request_.Body_.capacity()))
+        limitBodyTime();
+      else
+        refuse(ServiceUnavailable);
       break;
     }
     bool HeadTooLarge = Parser_->headTooLarge();
@@ -356,10 +387,20 @@
   DiscardedBytes_ = 0;
   BodyLimitAsked_ = false;
   HasBodyDeadline_ = false;
+  AnnouncedBytes_.reset();
+  if (Head.BodyBytes_)
+    AnnouncedBytes_ = *Head.BodyBytes_;
+  HeadBytes_ = Request_.Method_.capacity() + Request_.Target_.capacity() +
+               Request_.Path_.capacity() + Request_.Query_.memoryBytes() +
+               Request_.Headers_.memoryBytes();
   if (mustRefuseUnread(Head.BodyBytes_)) {
     RefusalStatus_ = ContentTooLarge;
     return false;
   }
+  if (!holdRequest(0)) {
+    RefusalStatus_ = ServiceUnavailable;
+    return false;
+  }
   auto Expected = Request_.Headers_.find("Expect");
   if (Expected && !IsHttp10_ &&
       boost::algorithm::iequals(*Expected, "100-continue")) {
@@ -372,6 +413,10 @@
 bool Connection::onBody(std::string_view Data) {
   TooLarge_ = TooLarge_ || Request_.Body_.size() + Data.size() > BodyLimit_;
   if (!TooLarge_) {
+    if (!growBody(Request_.Body_.size() + Data.size())) {
+      RefusalStatus_ = ServiceUnavailable;
+      return false;
+    }
     Request_.Body_.append(Data);
     return true;
   }
@@ -382,6 +427,36 @@
   return false;
 }
 
+bool Connection::holdRequest(std::size_t BodyCapacity) {
+  std::size_t Head = Parser_ ? Parser_->memoryBytes() : 0;
+  if (Phase_ == Phase::ReadingBody)
+    Head += HeadBytes_ + BodyCapacity;
+  return Core_.hold(*this, Input_.capacity() + Head);
+}
+
+void Connection::trimInput() {
+  if (Input_.capacity() > MaxIdleBuffer &&
+      Input_.size() < Input_.capacity() / 2)
+    Input_.shrink_to_fit();
+}
+
+bool Connection::growBody(std::size_t Bytes) {
+  std::string &Body = Request_.Body_;
+  if (Bytes <= Body.capacity())
+    return true;
+  std::size_t Capacity =
+      grownCapacity(Body.capacity(), Bytes, AnnouncedBytes_, BodyLimit_);
+  if (!holdRequest(Capacity))
+    return false;
+  // A string that grows at least doubles its capacity; an empty one gets what
+  // it is asked for.
+  std::string Grown;
+  Grown.reserve(Capacity);
+  Grown.append(Body);
+  Body = std::move(Grown);
+  return true;
+}
+
 void Connection::limitBodyTime() {
   if (Phase_ != Phase::ReadingBody || HasBodyDeadline_)
     return;
@@ -400,15 +475,32 @@
   setPhase(Phase::Answering);
   Exchange_ = std::make_shared<Exchange>(Core_.Owner_, this);
   auto Current = Exchange_;
+  Core_.Memory_.release(this);
+  if (!TooLarge_)
+    Request_.Charge_ =
+        Core_.Memory_.holdWhole(HeadBytes_ + Request_.Body_.capacity());
+  HttpRequest Whole = std::exchange(Request_, {});
   if (TooLarge_)
     Current->respond(Core_.errorAnswer(ContentTooLarge));
   else
-    Core_.Handler_(std::exchange(Request_, {}), Current);
+    Core_.Handler_(std::move(Whole), Current);
+}
+
+void Connection::makeRoom() {
+  auto Self = shared_from_this();
+  if (isReadingRequest())
+    refuse(ServiceUnavailable);
+  else
+    end(ConnectionEnd::Evicted);
 }
 
 void Connection::refuse(unsigned Status) {
   Timer_.stop();
   Parser_.reset();
+  freeMemory(Request_);
+  freeMemory(Input_);
+  Core_.Memory_.release(this);
+  Refused_ = true;
   RefusalStatus_ = 0;
   setPhase(Phase::Answering);
   CloseAfter_ = true;
@@ -441,9 +533,11 @@
 void Connection::becomeIdle() {
   setPhase(Phase::Idle);
   IdleTimeout_ = Core_.Limits_.IdleTimeout_;
+  if (Input_.empty())
+    Core_.Memory_.release(this);
   for (std::string *Each : {&Input_, &Output_})
     if (Each->empty() && Each->capacity() > MaxIdleBuffer)
-      *Each = {};
+      freeMemory(*Each);
 }
 
 void Connection::appendHead(unsigned Status, const HttpHeaders &Headers,
@@ -634,7 +728,8 @@
 void Connection::linger(ConnectionEnd How) {
   LingerEnd_ = How;
   setPhase(Phase::Lingering);
-  Input_ = {};
+  freeMemory(Input_);
+  Core_.Memory_.release(this);
   ::shutdown(Socket_.fd(), SHUT_WR);
   Timer_.start(LingerTime);
   watch();
--- a/libs/net/src/http-connection.h
+++ b/libs/net/src/http-connection.h
@@ -34,6 +34,13 @@
   void acceptSome();
   /// Closes the connection that is idle for longest. Returns false if none is.
   bool evictIdle();
+  /// Refuses unfinished requests that have made no progress for some time, so
+  /// that their connections make room for new ones.
+  void refuseStalled();
+  /// Counts the bytes that a connection holds for an unfinished request, and
+  /// refuses others' requests while that exceeds the limit. Returns false if
+  /// the request of \p By itself has to be refused.
+  bool hold(Connection &By, std::size_t Bytes);
   /// Accepts no more until a connection has ended, or for a moment.
   void pauseAccepting();
   /// Accepts again if that was paused for want of room.
@@ -61,6 +68,8 @@
   /// When the server stopped accepting; unset before.
   std::optional<base::TimePoint> StoppedAt_;
   std::unordered_map<Connection *, std::shared_ptr<Connection>> Connections_;
+  /// Counts what connections hold beside requests that the handler has.
+  RequestMemory<Connection *> Memory_;
   /// Connections without a request, the one that is idle for longest first.
   ConnectionList Idle_;
   /// Connections of which a part of a head was read, the oldest first.
@@ -97,6 +106,14 @@
   std::chrono::milliseconds idleTimeout() const;
   /// Answers a request that was not read whole, and closes the connection.
   void refuse(unsigned Status);
+  /// Whether a request was read in part.
+  bool isReadingRequest() const {
+    return Phase_ == Phase::ReadingHead || Phase_ == Phase::ReadingBody;
+  }
+  /// Gives up the memory held for a request that was not read whole: refuses
+  /// it, or closes the connection if it belongs to one behind a request in
+  /// progress.
+  void makeRoom();
 
   // Called by the exchange in progress.
   void sendWhole(HttpAnswer Answer);
@@ -129,6 +146,14 @@
   void limitBodyTime();
   void callHandler();
   bool mustRefuseUnread(std::optional<std::uint64_t> BodyBytes) const;
+  /// Counts the memory of the request that is being read, with a body of that
+  /// capacity. Returns false if the request has to be refused.
+  bool holdRequest(std::size_t BodyCapacity);
+  /// Frees the room of input that was parsed.
+  void trimInput();
+  /// Makes room for a longer body. Returns false if the request has to be
+  /// refused.
+  bool growBody(std::size_t Bytes);
 
   void appendHead(unsigned Status, const HttpHeaders &Headers,
                   std::string_view Framing);
@@ -170,6 +195,10 @@
   HttpRequest Request_;
   /// Input of the next request was there when the answer was out.
   bool HasPipelinedInput_ = false;
+  /// Memory of Request_ without its body.
+  std::size_t HeadBytes_ = 0;
+  /// Announced length of the body; unset if it is sent in chunks.
+  std::optional<std::size_t> AnnouncedBytes_;
   std::shared_ptr<Exchange> Exchange_;
   /// Limit that was in force when the request began.
   std::size_t BodyLimit_ = 0;
@@ -178,6 +207,8 @@
   bool BodyLimitAsked_ = false;
   /// Timer_ limits the time for the whole body, not a pause in it.
   bool HasBodyDeadline_ = false;
+  /// The request was refused; input is discarded.
+  bool Refused_ = false;
   /// Status of a refusal that was decided while parsing; 0 for none.
   unsigned RefusalStatus_ = 0;
   bool IsHttp10_ = false;
--- a/libs/net/src/http-server.cpp
+++ b/libs/net/src/http-server.cpp
@@ -45,6 +45,9 @@
 using namespace std::chrono_literals;
 
 constexpr unsigned RequestTimeout = 408;
+/// Time without progress after which an unfinished request makes room for a new
+/// connection.
+constexpr milliseconds MaxStallWhileFull = 1s;
 /// Idle time after which connections are closed once none are accepted.
 constexpr milliseconds IdleTimeoutAfterStop = 1s;
 /// Interval between checks for connections that wait for too long.
@@ -57,7 +60,9 @@
 ServerCore::ServerCore(Loop &Owner, const HttpServerLimits &Limits)
     : Owner_(Owner), Limits_(Limits),
       AcceptWatcher_(Owner, [this](bool, bool) { acceptSome(); }),
-      SweepTimer_(Owner, [this] { sweep(); }) {}
+      SweepTimer_(Owner, [this] { sweep(); }) {
+  Memory_.setLimits(Limits.RequestMemory_);
+}
 
 ServerCore::~ServerCore() {
   AcceptWatcher_.stop();
@@ -74,16 +79,21 @@
       // Only the first round is sure that a connection waits.
       if (Accepted > 0)
         return;
-      if (!evictIdle())
+      if (!evictIdle()) {
+        refuseStalled();
         return pauseAccepting();
+      }
     }
     auto Next = acceptFrom(Listening_.fd());
     if (Next) {
       adopt(std::move(Next).value());
       continue;
     }
-    if (Next.error().Kind_ == base::IoErrorKind::ResourceLimit && !evictIdle())
+    if (Next.error().Kind_ == base::IoErrorKind::ResourceLimit &&
+        !evictIdle()) {
+      refuseStalled();
       pauseAccepting();
+    }
     return;
   }
 }
@@ -98,6 +108,31 @@
   return true;
 }
 
+void ServerCore::refuseStalled() {
+  if (Limits_.RequestMemory_.Bytes_ == 0)
+    return;
+  base::TimePoint Now = Owner_.now();
+  for (int Refused = 0; Refused < MaxAcceptsPerTurn; ++Refused) {
+    auto Stalled = Memory_.longestStalled(
+        MaxStallWhileFull, Now,
+        [](const Connection *Each) { return Each->isReadingRequest(); });
+    if (!Stalled)
+      return;
+    (*Stalled)->makeRoom();
+  }
+}
+
+bool ServerCore::hold(Connection &By, std::size_t Bytes) {
+  base::TimePoint Now = Owner_.now();
+  Memory_.hold(&By, Bytes, Now);
+  while (auto Next = Memory_.nextRefused(Now)) {
+    if (*Next == &By)
+      return false;
+    (*Next)->makeRoom();
+  }
+  return true;
+}
+
 void ServerCore::pauseAccepting() {
   AcceptPaused_ = true;
   AcceptWatcher_.stop();
@@ -195,6 +230,7 @@
 
 void HttpServer::setLimits(const HttpServerLimits &Limits) {
   Inner_->Core_.Limits_ = Limits;
+  Inner_->Core_.Memory_.setLimits(Limits.RequestMemory_);
 }
 
 void HttpServer::onConnectionEnd(std::function<void(ConnectionEnd)> Callback) {
@@ -227,4 +263,8 @@
 
 std::size_t HttpServer::inProgress() const { return Inner_->Core_.InProgress_; }
 
+std::size_t HttpServer::requestBytes() const {
+  return Inner_->Core_.Memory_.bytes();
+}
+
 } // namespace camphorwind::net
--- a/libs/net/src/http.cpp
+++ b/libs/net/src/http.cpp
@@ -23,6 +23,13 @@
   return std::nullopt;
 }
 
+std::size_t HttpHeaders::memoryBytes() const {
+  std::size_t Bytes = Fields_.capacity() * sizeof(Fields_.front());
+  for (const auto &[Name, Value] : Fields_)
+    Bytes += Name.capacity() + Value.capacity();
+  return Bytes;
+}
+
 HttpAnswer jsonAnswer(unsigned Status, std::string Body) {
   return {Status, {{"Content-Type", "application/json"}}, std::move(Body)};
 }
--- a/libs/net/src/request-parser.cpp
+++ b/libs/net/src/request-parser.cpp
@@ -19,6 +19,8 @@
 public:
   explicit BeastParser(RequestSink &Sink) : Sink_(Sink) {}
 
+  std::size_t headBytes() const { return HeadBytes_; }
+
 private:
   void on_request_impl(http::verb, TextView Method, TextView Target,
                        int Version, ErrorCode &) override {
@@ -31,8 +33,12 @@
   void on_field_impl(http::field, TextView Name, TextView Value,
                      ErrorCode &) override {
     // Trailers are dropped.
-    if (!is_header_done())
-      Head_.Headers_.add(std::string(view(Name)), std::string(view(Value)));
+    if (is_header_done())
+      return;
+    Head_.Headers_.add(std::string(view(Name)), std::string(view(Value)));
+    // The array of fields may have room for twice as many.
+    constexpr std::size_t FieldBytes = 4 * sizeof(std::string);
+    HeadBytes_ += FieldBytes + Name.size() + Value.size();
   }
   void on_header_impl(ErrorCode &Error) override {
     // With another coding, where the request ends is not known.
@@ -44,6 +50,7 @@
     Head_.KeepAlive_ = keep_alive();
     if (auto Length = content_length())
       Head_.BodyBytes_ = *Length;
+    HeadBytes_ = 0;
     if (!Sink_.onHead(std::move(Head_)))
       Error = http::error::body_limit;
   }
@@ -67,6 +74,8 @@
 
   RequestSink &Sink_;
   RequestHead Head_;
+  /// Memory of the fields of Head_, until the sink has them.
+  std::size_t HeadBytes_ = 0;
 };
 
 } // namespace
@@ -103,6 +112,10 @@
   return State;
 }
 
+std::size_t RequestParser::memoryBytes() const {
+  return Inner_->Parser_.headBytes();
+}
+
 bool RequestParser::headDone() const {
   return Inner_->Parser_.is_header_done();
 }
--- a/libs/net/src/request-parser.h
+++ b/libs/net/src/request-parser.h
@@ -46,6 +46,8 @@
   bool headDone() const;
   /// Whether parsing failed because the header section is too large.
   bool headTooLarge() const { return HeadTooLarge_; }
+  /// Returns the memory that the fields of an unfinished head take, roughly.
+  std::size_t memoryBytes() const;
 
 private:
   struct Impl;
--- a/libs/net/test/http-server-test.cpp
+++ b/libs/net/test/http-server-test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <memory>
@@ -40,6 +41,10 @@
   void serve(HttpHandler Handler) {
     HttpServerLimits Limits;
     Limits.BodyBytes_ = SmallBodyLimit;
+    serve(std::move(Handler), Limits);
+  }
+
+  void serve(HttpHandler Handler, const HttpServerLimits &Limits) {
     auto Created = HttpServer::create(*Owner_, {"127.0.0.1", 0}, Limits,
                                       std::move(Handler));
     ASSERT_TRUE(Created);
@@ -302,6 +307,187 @@
   EXPECT_EQ(Got.value().Status_, 413u);
 }
 
+/// A caller that sends bytes, reads, and stays open.
+class OpenCaller {
+public:
+  OpenCaller(Loop &Owner, const Address &Server, std::string_view Text)
+      : Connection_(std::move(startConnect(Server).value())),
+        Watcher_(Owner, [this](bool, bool) { read(); }) {
+    EXPECT_EQ(::send(Connection_.fd(), Text.data(), Text.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(Text.size()));
+    Watcher_.start(Connection_.fd(), Interest::Read);
+  }
+
+  /// Status of the answer; empty if there is none.
+  std::string_view status() const {
+    constexpr std::string_view Version = "HTTP/1.1 ";
+    return std::string_view(Received_).substr(
+        std::min(Received_.size(), Version.size()), 3);
+  }
+
+private:
+  void read() {
+    char Buffer[4096];
+    ssize_t Size = ::recv(Connection_.fd(), Buffer, sizeof(Buffer), 0);
+    if (Size > 0)
+      Received_.append(Buffer, static_cast<std::size_t>(Size));
+    else
+      Watcher_.stop();
+  }
+
+  Socket Connection_;
+  FdWatcher Watcher_;
+  std::string Received_;
+};
+
+/// A server with memory for three bodies of 30 KB, and for small requests.
+class HttpServerMemoryTest : public HttpServerTest {
+protected:
+  static constexpr std::size_t Kilobyte = 1024;
+  static constexpr std::size_t BodyBytes = 30 * Kilobyte;
+
+  HttpServerMemoryTest() {
+    Limits_.BodyBytes_ = BodyBytes;
+    Limits_.RequestMemory_ = {140 * Kilobyte, 20 * Kilobyte, 8 * Kilobyte};
+  }
+
+  void runFor(std::chrono::milliseconds Time) {
+    Timer Stop(*Owner_, [this] { Owner_->stop(); });
+    Stop.start(Time);
+    Owner_->run();
+  }
+
+  template <class Predicate> void runUntil(Predicate IsDone) {
+    Timer Check(*Owner_, [&] {
+      if (IsDone())
+        Owner_->stop();
+    });
+    Check.startRepeating(std::chrono::milliseconds(1));
+    Owner_->run();
+  }
+
+  /// Opens a connection; runs until the server holds more than before, or has
+  /// answered.
+  std::unique_ptr<OpenCaller> open(std::string_view Text) {
+    std::size_t Before = Server_->requestBytes();
+    auto Opened =
+        std::make_unique<OpenCaller>(*Owner_, Server_->address(), Text);
+    runUntil([&] {
+      return Server_->requestBytes() > Before || !Opened->status().empty();
+    });
+    return Opened;
+  }
+
+  HttpServerLimits Limits_;
+};
+
+/// Guards against memory without a bound: many callers send almost all of a
+/// large body and stay open. The one that has stalled for longest is refused,
+/// and small requests are served.
+TEST_F(HttpServerMemoryTest, UnfinishedBodiesOverTheMemoryLimitAre503) {
+  serve(
+      [](const HttpRequest &Request,
+         const std::shared_ptr<HttpExchange> &Exchange) {
+        EXPECT_EQ(Request.Path_, "/small");
+        Exchange->respond({200, {}, ""});
+      },
+      Limits_);
+  std::string Unfinished = "POST /large HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: 30720\r\n\r\n" +
+                           std::string(BodyBytes - 7, 'x');
+  std::vector<std::unique_ptr<OpenCaller>> Callers;
+  for (std::size_t Count = 1; Count <= 3; ++Count) {
+    Callers.push_back(open(Unfinished));
+    runUntil([&] { return Server_->requestBytes() >= Count * BodyBytes; });
+  }
+  // Shorter stalls count alike.
+  runFor(std::chrono::milliseconds(200));
+  for (const auto &Each : Callers)
+    EXPECT_EQ(Each->status(), "");
+  Callers.push_back(
+      std::make_unique<OpenCaller>(*Owner_, Server_->address(), Unfinished));
+  runUntil([&] { return !Callers.front()->status().empty(); });
+  EXPECT_EQ(Callers.front()->status(), "503");
+  EXPECT_EQ(Callers.back()->status(), "");
+  EXPECT_LE(Server_->requestBytes(), 120 * Kilobyte);
+  auto Got = fetch(call("/small", "body"));
+  ASSERT_TRUE(Got);
+  EXPECT_EQ(Got.value().Status_, 200u);
+}
+
+/// Guards against growth of a string to twice its length, which a body of legal
+/// size would not survive: one request alone is served, whatever its framing.
+TEST_F(HttpServerMemoryTest, LargestChunkedBodyIsServedAlone) {
+  std::size_t Held = 0;
+  serve(
+      [&](const HttpRequest &Request,
+          const std::shared_ptr<HttpExchange> &Exchange) {
+        EXPECT_EQ(Request.Body_.size(), BodyBytes);
+        Held = Server_->requestBytes();
+        Exchange->respond({200, {}, ""});
+      },
+      Limits_);
+  std::string Text = "POST / HTTP/1.1\r\nHost: h\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t Sent = 0; Sent < BodyBytes; Sent += Kilobyte)
+    Text += "400\r\n" + std::string(Kilobyte, 'x') + "\r\n";
+  auto Caller = open(Text + "0\r\n\r\n");
+  runUntil([&] { return !Caller->status().empty(); });
+  EXPECT_EQ(Caller->status(), "200");
+  EXPECT_GE(Held, BodyBytes);
+  EXPECT_LE(Held, BodyBytes + 2 * Kilobyte);
+}
+
+/// Guards against bodies that stop to count once the application has them,
+/// while they are being forwarded.
+TEST_F(HttpServerMemoryTest, WholeRequestsCountUntilTheyAreDestroyed) {
+  std::vector<HttpRequest> Kept;
+  std::vector<std::shared_ptr<HttpExchange>> Exchanges;
+  serve(
+      [&](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
+        Kept.push_back(std::move(Request));
+        Exchanges.push_back(std::move(Exchange));
+      },
+      Limits_);
+  std::string Whole = "POST / HTTP/1.1\r\nHost: h\r\n"
+                      "Content-Length: 30720\r\n\r\n" +
+                      std::string(BodyBytes, 'x');
+  std::vector<std::unique_ptr<OpenCaller>> Callers;
+  for (int Count = 0; Count < 6; ++Count) {
+    std::size_t Before = Kept.size();
+    Callers.push_back(open(Whole));
+    runUntil([&] {
+      return Kept.size() > Before || !Callers.back()->status().empty();
+    });
+  }
+  EXPECT_LT(Kept.size(), 6u);
+  EXPECT_GE(Kept.size(), 3u);
+  EXPECT_GE(Server_->requestBytes(), Kept.size() * BodyBytes);
+  EXPECT_EQ(Callers.back()->status(), "503");
+  Kept.clear();
+  EXPECT_EQ(Server_->requestBytes(), 0u);
+}
+
+/// Guards against callers that fill all connections with unfinished requests,
+/// so that nobody else is accepted.
+TEST_F(HttpServerMemoryTest, StalledRequestsMakeRoomForNewConnections) {
+  Limits_.Connections_ = 2;
+  serve(
+      [](const HttpRequest &, const std::shared_ptr<HttpExchange> &Exchange) {
+        Exchange->respond({200, {}, ""});
+      },
+      Limits_);
+  std::string_view Unfinished = "POST / HTTP/1.1\r\nHost: h\r\n"
+                                "Content-Length: 9\r\n\r\nx";
+  auto Head = open(Unfinished.substr(0, 20));
+  auto Body = open(Unfinished);
+  auto Got = fetch(call("/"));
+  ASSERT_TRUE(Got);
+  EXPECT_EQ(Got.value().Status_, 200u);
+  runUntil([&] { return !Head->status().empty(); });
+  EXPECT_EQ(Head->status(), "503");
+}
+
 TEST_F(HttpServerTest, CallerThatHangsUpIsNoticedWhileWaiting) {
   std::shared_ptr<HttpExchange> Kept;
   bool HungUp = false;
