--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -49,9 +49,43 @@
 /// Longest request line, which counts beside the limit on headers.
 constexpr std::size_t MaxRequestLineBytes = 8UL * 1024;
 
-/// Returns the limits of the callers' server under a configuration.
-net::HttpServerLimits serverLimits(const RequestLimits &Stated) {
+/// Retry-After of a request that was refused for lack of memory. Unfinished
+/// requests that stall make room for others at once.
+constexpr auto MemoryRetryAfter = 250ms;
+/// Part of the memory for requests that is reserved for small ones, as a
+/// divisor.
+constexpr std::size_t SmallReserveDivisor = 8;
+/// Memory that the largest legal header section takes once it is parsed: fields
+/// and arguments of a few bytes take many times their length.
+constexpr std::size_t MaxParsedHeadBytes = 2UL * 1024 * 1024;
+
+/// Returns the limits on the memory for requests. One request of the largest
+/// legal size always fits.
+net::RequestMemoryLimits memoryLimits(const DirectSettings &Settings,
+                                      std::size_t BodyBytes) {
+  net::RequestMemoryLimits Limits;
+  if (Settings.MaxRequestBytes_ == 0)
+    return Limits;
+  std::size_t Largest = BodyBytes + MaxParsedHeadBytes;
+  Limits.Bytes_ = std::max(Settings.MaxRequestBytes_,
+                           Largest + Largest / (SmallReserveDivisor - 1) + 1);
+  Limits.SmallReserve_ = Limits.Bytes_ / SmallReserveDivisor;
+  return Limits;
+}
+
+/// Returns the limits of the callers' server before the first configuration.
+net::HttpServerLimits serverLimits(const DirectSettings &Settings) {
   net::HttpServerLimits Limits;
+  Limits.Connections_ = Settings.MaxCallerConnections_;
+  Limits.RequestMemory_ = memoryLimits(Settings, Limits.BodyBytes_);
+  return Limits;
+}
+
+/// Returns the limits of the callers' server under a configuration.
+net::HttpServerLimits serverLimits(const DirectSettings &Settings,
+                                   const RequestLimits &Stated) {
+  net::HttpServerLimits Limits = serverLimits(Settings);
+  Limits.RequestMemory_ = memoryLimits(Settings, Stated.BodyBytes_);
   Limits.BodyBytes_ = Stated.BodyBytes_;
   Limits.HeaderBytes_ = std::max(
       Limits.HeaderBytes_,
@@ -92,9 +126,9 @@
   bool HasColdLimit = Bounds && Config->ColdRequestsPerSecond_ > 0;
   bool MayBeCold = Bounds && Config->ColdTime_ > 0ms;
   double Requests =
-      HasColdLimit ? Bounds->Factor_ * Config->ColdRequestsPerSecond_ +
-                         Bounds->Slack_
-                   : 0;
+      HasColdLimit
+          ? Bounds->Factor_ * Config->ColdRequestsPerSecond_ + Bounds->Slack_
+          : 0;
   Pool.Selector_.coldLimits().setLimit(Requests, Config->ColdTime_);
   Pool.Selector_.setProtection(MayBeCold ||
                                    Settings_.EndpointsHaveMemoryLimit_,
@@ -205,7 +239,7 @@
       Origins_.dropIdle(Endpoint.Address_);
     }
     Metrics_.gauge("evacuated_domains",
-                 static_cast<double>(Evacuations_.size()));
+                   static_cast<double>(Evacuations_.size()));
     observe::log(LogLevel::Warning,
                  Each.Evacuated_ ? "evacuation_began" : "evacuation_ended",
                  {{"domain", Each.Domain_.str()},
@@ -363,7 +397,8 @@
       return;
     LoggedOverload_ = IsOverloaded;
     Context_.Metrics_.gauge("host_overloaded", IsOverloaded ? 1 : 0);
-    auto Lag = std::chrono::duration_cast<milliseconds>(Context_.Load_.lag(Now));
+    auto Lag =
+        std::chrono::duration_cast<milliseconds>(Context_.Load_.lag(Now));
     observe::log(LogLevel::Warning,
                  IsOverloaded ? "host_overloaded" : "host_recovered",
                  {{"lag_ms", Lag.count()},
@@ -391,6 +426,8 @@
   net::HttpAnswer unreadErrorAnswer(unsigned Status) {
     daemons::CallerError Error;
     Error.Reason_ = daemons::reasonOfUnread(Status);
+    if (Error.Reason_ == base::RefusalReason::MemoryLimit)
+      Error.RetryAfter_ = MemoryRetryAfter;
     Context_.Metrics_.countRefusal(Error.Reason_, Error.Ran_);
     observe::log(LogLevel::Info, "request_body_refused",
                  {{"reason", base::toString(Error.Reason_)}});
@@ -410,9 +447,10 @@
   }
 
   bool ready() const {
-    bool HasRoom = Context_.Settings_.CpuShare_ >= SmallCpuShare ||
-                   Context_.Load_.ready();
-    return HasRoom && !Context_.Stopping_ && Context_.View_.current() != nullptr &&
+    bool HasRoom =
+        Context_.Settings_.CpuShare_ >= SmallCpuShare || Context_.Load_.ready();
+    return HasRoom && !Context_.Stopping_ &&
+           Context_.View_.current() != nullptr &&
            Context_.Endpoints_.loaded() && Context_.Escrow_.loaded();
   }
 
@@ -431,8 +469,8 @@
   void onTurn() {
     base::TimePoint Now = Context_.Loop_.now();
     base::Duration Length = Now - std::exchange(TurnedAt_, Now);
-    Context_.Load_.observe(
-        std::max<base::Duration>(Length - TickInterval, 0ms), Now);
+    Context_.Load_.observe(std::max<base::Duration>(Length - TickInterval, 0ms),
+                           Now);
     if (Length <= MaxTurn)
       return;
     Context_.Pause_ = {Now, Length};
@@ -472,6 +510,8 @@
         return Now - Each.second >= MalformedLogInterval;
       });
       Context_.updateStreamVersions();
+      Context_.Metrics_.gauge(
+          "request_bytes", static_cast<double>(CallerServer_->requestBytes()));
     }
     Context_.quarantineChanged();
     Context_.updateClaims();
@@ -492,7 +532,8 @@
         Context_.Escrow_.setBudget(Each.Account_, *Each.Prepaid_);
     Context_.applyPoolLimits();
     if (CallerServer_)
-      CallerServer_->setLimits(serverLimits(Current.Limits_));
+      CallerServer_->setLimits(
+          serverLimits(Context_.Settings_, Current.Limits_));
     observe::log(LogLevel::Info, "configuration_in_force",
                  {{"version", Current.Version_},
                   {"before", PreviousVersion},
@@ -591,11 +632,11 @@
   auto Inner =
       std::make_unique<Impl>(EventLoop, std::move(Settings), std::move(Escrow));
   Impl *Implementation = Inner.get();
-  net::HttpServerLimits Limits;
   BOOST_OUTCOME_TRY(
       Server,
       net::HttpServer::create(
-          EventLoop, Implementation->Context_.Settings_.Listen_, Limits,
+          EventLoop, Implementation->Context_.Settings_.Listen_,
+          serverLimits(Implementation->Context_.Settings_),
           [Implementation](net::HttpRequest Request,
                            const std::shared_ptr<net::HttpExchange> &Exchange) {
             Implementation->handle(std::move(Request), Exchange);
@@ -614,6 +655,7 @@
       [Implementation](const net::HttpRequest &Head) {
         return Implementation->bodyTimeLimit(Head);
       });
+  net::HttpServerLimits Limits;
   Limits.HeaderBytes_ = MaxReadinessHeaderBytes;
   BOOST_OUTCOME_TRY(
       Readiness,
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -131,6 +131,18 @@
   return Text;
 }
 
+/// Takes the body of a request. Its memory counts until attempts have dropped
+/// it, too.
+std::shared_ptr<const std::string> chargedBody(net::HttpRequest &Request) {
+  struct ChargedBody {
+    std::string Text_;
+    std::shared_ptr<void> Charge_;
+  };
+  auto Charged = std::make_shared<const ChargedBody>(
+      ChargedBody{std::move(Request.Body_), Request.Charge_});
+  return {Charged, &Charged->Text_};
+}
+
 } // namespace
 
 ForwardedRequest::ForwardedRequest(ForwardingContext &Context,
@@ -238,7 +250,7 @@
   Pool_ = Picked->Pool_;
   PoolConfig_ = View_->findPool(Pool_);
   if (!Request_.Body_.empty())
-    Body_ = std::make_shared<const std::string>(std::move(Request_.Body_));
+    Body_ = chargedBody(Request_);
   base::Duration CallerTime =
       RequestMetadata_.TimeLeft_.value_or(Route_->Timeout_);
   CallerDeadline_ = ArrivedAt_ + CallerTime;
@@ -444,10 +456,9 @@
           ? static_cast<std::uint32_t>(RequestMetadata_.PromptTokens_.count())
           : 0;
   if (RequestMetadata_.HasTokenBounds_)
-    PlacementRequest.MaxOutputTokens_ =
-        static_cast<std::uint32_t>(std::min<std::int64_t>(
-            RequestMetadata_.MaxOutputTokens_.count(),
-            std::numeric_limits<std::uint32_t>::max()));
+    PlacementRequest.MaxOutputTokens_ = static_cast<std::uint32_t>(
+        std::min<std::int64_t>(RequestMetadata_.MaxOutputTokens_.count(),
+                               std::numeric_limits<std::uint32_t>::max()));
   PlacementRequest.BodyBytes_ = Body_ ? Body_->size() : 0;
   PlacementRequest.FirstByteObjective_ = Route_->FirstByteObjective_;
   PlacementRequest.Deadline_ = Deadline_;
--- a/daemons/direct/settings.h
+++ b/daemons/direct/settings.h
@@ -53,6 +53,11 @@
   /// Bytes of all responses together that are not whole yet, or that their
   /// callers have not taken.
   std::size_t MaxResponseBytes_ = 64UL * 1024 * 1024;
+  /// Bytes held for the requests of all callers together, until they have
+  /// ended; 0 for no limit. An eighth of them is for small requests.
+  std::size_t MaxRequestBytes_ = 0;
+  /// Largest number of callers' connections.
+  unsigned MaxCallerConnections_ = 4096;
 };
 
 } // namespace camphorwind::direct
