Test that requests refused for lack of memory are refused as not run

Refusals for lack of memory are logged once a second with their number (unfinished_requests_refused), since many callers at once cause them.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -426,9 +426,13 @@
   net::HttpAnswer unreadErrorAnswer(unsigned Status) {
     daemons::CallerError Error;
     Error.Reason_ = daemons::reasonOfUnread(Status);
-    if (Error.Reason_ == base::RefusalReason::MemoryLimit)
-      Error.RetryAfter_ = MemoryRetryAfter;
     Context_.Metrics_.countRefusal(Error.Reason_, Error.Ran_);
+    if (Error.Reason_ == base::RefusalReason::MemoryLimit) {
+      // A line for each would add to the load of many such callers.
+      ++MemoryRefusals_;
+      Error.RetryAfter_ = MemoryRetryAfter;
+      return daemons::errorAnswer(Error);
+    }
     observe::log(LogLevel::Info, "request_body_refused",
                  {{"reason", base::toString(Error.Reason_)}});
     return daemons::errorAnswer(Error);
@@ -512,6 +516,12 @@
       Context_.updateStreamVersions();
       Context_.Metrics_.gauge(
           "request_bytes", static_cast<double>(CallerServer_->requestBytes()));
+      if (MemoryRefusals_ > 0)
+        observe::log(
+            LogLevel::Warning, "unfinished_requests_refused",
+            {{"reason", base::toString(base::RefusalReason::MemoryLimit)},
+             {"refused", std::exchange(MemoryRefusals_, 0)},
+             {"request_bytes", CallerServer_->requestBytes()}});
     }
     Context_.quarantineChanged();
     Context_.updateClaims();
@@ -614,6 +624,8 @@
   bool LoggedOverload_ = false;
   /// Requests refused because of the lag since the last line about it.
   std::uint64_t ShedRequests_ = 0;
+  /// Requests refused with MemoryLimit since the last line about it.
+  std::uint64_t MemoryRefusals_ = 0;
   base::TimePoint TickedAt_ = Context_.Loop_.now();
   base::TimePoint PreviousTickAt_ = TickedAt_;
   /// When the stop was requested, or the last time before it that the process
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -298,7 +298,8 @@
   explicit DirectRouterTest(
       std::chrono::milliseconds DrainDelay = 100ms,
       std::size_t MaxResponseBytes = DirectSettings().MaxResponseBytes_,
-      double CpuShare = DirectSettings().CpuShare_)
+      double CpuShare = DirectSettings().CpuShare_,
+      std::size_t MaxRequestBytes = DirectSettings().MaxRequestBytes_)
       : Loop_(std::move(net::Loop::create().value())), Caller_(*Loop_, {}) {
     budget::EscrowSettings EscrowOptions;
     EscrowOptions.Router_ = base::RouterId("r");
@@ -313,6 +314,7 @@
     Settings.ShutdownTimeout_ = 2s;
     Settings.MaxResponseBytes_ = MaxResponseBytes;
     Settings.CpuShare_ = CpuShare;
+    Settings.MaxRequestBytes_ = MaxRequestBytes;
     Listen_ = Settings.Listen_;
     ReadinessListen_ = Settings.ReadinessListen_;
     Router_ =
@@ -2414,5 +2416,57 @@
             std::string::npos);
 }
 
+/// A router whose limit on the memory for requests is what the largest legal
+/// request needs.
+class RequestMemoryTest : public DirectRouterTest {
+protected:
+  RequestMemoryTest()
+      : DirectRouterTest(100ms, DirectSettings().MaxResponseBytes_,
+                         DirectSettings().CpuShare_, 1) {}
+};
+
+// Guards against a router that runs out of memory when many callers stop short
+// of the end of their bodies, and against refusals that do not say that the
+// request has not run.
+TEST_F(RequestMemoryTest, UnfinishedRequestsOverTheLimitAreRefusedAsNotRun) {
+  constexpr std::size_t BodyBytes = 60UL * 1024;
+  constexpr int Callers = 60;
+  Limits_.BodyBytes_ = BodyBytes;
+  configure(RequestKind::Idempotent);
+  addEndpoint({EndpointBehavior::Respond});
+  const std::string Unfinished =
+      "POST /orders/7 HTTP/1.1\r\nHost: shop.example\r\n"
+      "Authorization: Bearer secret\r\nX-Attempt-Id: a2\r\n"
+      "Content-Length: " +
+      std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes - 7, 'x');
+  std::vector<net::Socket> Open;
+  for (int Count = 0; Count < Callers; ++Count) {
+    Open.push_back(std::move(net::startConnect(Listen_).value()));
+    ASSERT_EQ(::send(Open.back().fd(), Unfinished.data(), Unfinished.size(),
+                     MSG_NOSIGNAL),
+              static_cast<ssize_t>(Unfinished.size()));
+  }
+  auto Response = fetch(makeCall());
+  EXPECT_EQ(Response.Status_, 200u);
+  int Refused = 0;
+  for (const net::Socket &Each : Open) {
+    std::string Text(4096, '\0');
+    ssize_t Size = ::recv(Each.fd(), Text.data(), Text.size(), 0);
+    Text.resize(static_cast<std::size_t>(std::max<ssize_t>(Size, 0)));
+    if (Text.empty())
+      continue;
+    ++Refused;
+    EXPECT_TRUE(Text.starts_with("HTTP/1.1 503 ")) << Text;
+    EXPECT_NE(Text.find("Retry-After: "), std::string::npos);
+    EXPECT_NE(Text.find("Connection: close"), std::string::npos);
+    EXPECT_NE(Text.find("memory_limit"), std::string::npos);
+    EXPECT_NE(Text.find("\"ran\":\"no\""), std::string::npos);
+  }
+  // The limit is 8/7 of a body and 2 MB.
+  EXPECT_GE(Refused, 15);
+  EXPECT_LT(Refused, Callers);
+  EXPECT_EQ(receivedRequests(), 1u);
+}
+
 } // namespace
 } // namespace camphorwind::direct
