--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -130,8 +130,7 @@
           ? Bounds->Factor_ * Config->ColdRequestsPerSecond_ + Bounds->Slack_
           : 0;
   Pool.Selector_.coldLimits().setLimit(Requests, Config->ColdTime_);
-  Pool.Selector_.setProtection(MayBeCold ||
-                                   Settings_.EndpointsHaveMemoryLimit_,
+  Pool.Selector_.setProtection(MayBeCold || Settings_.EndpointsHaveMemoryLimit_,
                                Settings_.EndpointsHaveMemoryLimit_);
 }
 
@@ -272,14 +271,13 @@
                                            std::string_view Header,
                                            std::string_view Request) {
   base::TimePoint Now = Loop_.now();
-  auto [Found, New] = MalformedLoggedAt_.try_emplace(
-      {Endpoint, std::string(Header)}, Now);
+  auto [Found, New] =
+      MalformedLoggedAt_.try_emplace({Endpoint, std::string(Header)}, Now);
   if (!New)
     return;
-  observe::log(LogLevel::Warning, "answer_header_malformed",
-               {{"request", Request},
-                {"endpoint", Endpoint.str()},
-                {"header", Header}});
+  observe::log(
+      LogLevel::Warning, "answer_header_malformed",
+      {{"request", Request}, {"endpoint", Endpoint.str()}, {"header", Header}});
 }
 
 void ForwardingContext::applyEndpointChanges() {
@@ -370,11 +368,10 @@
       return false;
     const Route *Found = Current->findRouteOfHost(
         Request.Headers_.find("Host").value_or(""), Request.Path_);
-    return Found &&
-           Context_.Load_.mustRefuse(
-               {Request.Pipelined_ ? 0ms : Request.SocketWait_,
-                Found->FirstByteObjective_, Found->Priority_},
-               Context_.Loop_.now());
+    return Found && Context_.Load_.mustRefuse(
+                        {Request.Pipelined_ ? 0ms : Request.SocketWait_,
+                         Found->FirstByteObjective_, Found->Priority_},
+                        Context_.Loop_.now());
   }
 
   net::HttpAnswer overloadAnswer() {
@@ -382,7 +379,8 @@
     Error.Reason_ = base::RefusalReason::HostOverloaded;
     // With jitter, so that callers refused together do not return together.
     constexpr std::uint32_t JitterMs = 50;
-    Error.RetryAfter_ = LagRetryAfter + milliseconds(Context_.Random_(JitterMs));
+    Error.RetryAfter_ =
+        LagRetryAfter + milliseconds(Context_.Random_(JitterMs));
     Context_.Metrics_.countRefusal(Error.Reason_, Error.Ran_);
     return daemons::errorAnswer(Error);
   }
--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -106,16 +106,15 @@
     return std::clamp<std::int64_t>(integerField(*Parsed, Name).value_or(0), 0,
                                     *Used);
   };
-  return SliceRow{Incarnation->get<std::string>(),
-                  *Granted,
-                  {*Used, *Burst, *Rate, *Spread,
-                   std::chrono::milliseconds(*Delay),
-                   std::chrono::milliseconds(*At)},
-                  integerField(*Parsed, "demand").value_or(0),
-                  PartOfUsed("reserved"),
-                  PartOfUsed("stranded"),
-                  std::max<std::int64_t>(
-                      0, integerField(*Parsed, "bound").value_or(0))};
+  return SliceRow{
+      Incarnation->get<std::string>(),
+      *Granted,
+      {*Used, *Burst, *Rate, *Spread, std::chrono::milliseconds(*Delay),
+       std::chrono::milliseconds(*At)},
+      integerField(*Parsed, "demand").value_or(0),
+      PartOfUsed("reserved"),
+      PartOfUsed("stranded"),
+      std::max<std::int64_t>(0, integerField(*Parsed, "bound").value_or(0))};
 }
 
 std::string encodeTotal(std::int64_t Granted) {
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -856,9 +856,9 @@
       return Next;
     double Demand = expectedDemand(State, Now);
     CeilingPolicy Policy = ceilingPolicy(State, Demand, Now);
-    Next.Burst_ = std::min(Remaining,
-                           std::max({static_cast<std::int64_t>(Policy.MinBurst_),
-                                     State.RefusedBound_, State.RefusedLoan_}));
+    Next.Burst_ = std::min(
+        Remaining, std::max({static_cast<std::int64_t>(Policy.MinBurst_),
+                             State.RefusedBound_, State.RefusedLoan_}));
     double DrainSeconds =
         isLargeFleet() ? LargeFleetDrainSeconds : MinRateDrainSeconds;
     Next.RatePerSecond_ = static_cast<std::int64_t>(
@@ -901,7 +901,8 @@
       return State.Granted_ > 0 && !State.ConfirmedCheckpoint_->isFinal();
     // The slice covers a refused request, but the ceiling does not.
     for (std::int64_t Refused : {State.RefusedBound_, State.RefusedLoan_})
-      if (Refused > 0 && Refused <= Remaining && Refused > available(State, Now))
+      if (Refused > 0 && Refused <= Remaining &&
+          Refused > available(State, Now))
         return true;
     base::Duration Age = Now - State.CheckpointAt_;
     if (State.used() != State.ConfirmedCheckpoint_->Used_ ||
@@ -994,9 +995,10 @@
     }
     if (RoutineDue && Count > 0)
       NextRoutineGrantAt_ =
-          Now + std::chrono::duration_cast<base::Duration>(
-                    std::chrono::duration<double>(
-                        static_cast<double>(Routers_) / RoutineGrantsPerSecond));
+          Now +
+          std::chrono::duration_cast<base::Duration>(
+              std::chrono::duration<double>(static_cast<double>(Routers_) /
+                                            RoutineGrantsPerSecond));
   }
 
   bool changesTotals() const {
--- a/libs/budget/test/large-fleet-test.cpp
+++ b/libs/budget/test/large-fleet-test.cpp
@@ -73,8 +73,8 @@
       Settings.StartedAt_ = Now_;
       Settings.ExpectedRouters_ = 4;
       Settings.LoanAddress_ = Name;
-      Routers_.push_back({std::move(Escrow::create(Settings)).value(), {}, {},
-                          {}, {}, {}});
+      Routers_.push_back(
+          {std::move(Escrow::create(Settings)).value(), {}, {}, {}, {}, {}});
       for (std::size_t Each = 0; Each < Case.Accounts_; ++Each)
         Routers_.back().Slices_.setBudget(account(Each), Tokens(Case.Prepaid_));
     }
@@ -219,9 +219,10 @@
     for (std::size_t Each = 0; Time >= 0s && Each < Case.Accounts_; ++Each) {
       for (int Left = Arrivals(Random_); Left > 0; --Left) {
         auto Bound = 1000 + static_cast<std::int64_t>(Size(Random_));
-        std::size_t At = (Each + Random_(static_cast<std::uint32_t>(
-                                     Case.RoutersPerAccount_))) %
-                         Case.Routers_;
+        std::size_t At =
+            (Each +
+             Random_(static_cast<std::uint32_t>(Case.RoutersPerAccount_))) %
+            Case.Routers_;
         Waiting_.push_back({At, Each, Bound, Now_});
         ++Requests_;
       }
--- a/libs/routing/include/camphorwind/routing/cold-limits.h
+++ b/libs/routing/include/camphorwind/routing/cold-limits.h
@@ -40,12 +40,12 @@
 /// routers together within any one second.
 ///
 /// Cold endpoints crash under more, so the sum must hold without messages:
-/// whatever a router knows of the others, it may use only its own share. Routers
-/// that read the common table regularly divide most of the limit by their
-/// number. The rest is for those that have not read it for a while, which the
-/// others soon stop to count. A router that has just started sends nothing to
-/// cold endpoints until all others count it. Where a share would be less than
-/// one request, routers take turns.
+/// whatever a router knows of the others, it may use only its own share.
+/// Routers that read the common table regularly divide most of the limit by
+/// their number. The rest is for those that have not read it for a while, which
+/// the others soon stop to count. A router that has just started sends nothing
+/// to cold endpoints until all others count it. Where a share would be less
+/// than one request, routers take turns.
 class ColdLimits {
 public:
   /// Duration of one turn. A window of one second touches at most two turns,
--- a/libs/routing/src/cold-limits.cpp
+++ b/libs/routing/src/cold-limits.cpp
@@ -33,8 +33,8 @@
 }
 
 void ColdLimits::setLimit(double Requests, base::Duration ColdTime) {
-  Limit_ = static_cast<std::size_t>(
-      std::floor(std::clamp(Requests, 0.0, MaxLimit)));
+  Limit_ =
+      static_cast<std::size_t>(std::floor(std::clamp(Requests, 0.0, MaxLimit)));
   ColdTime_ = ColdTime;
 }
 
@@ -76,8 +76,8 @@
   std::size_t Part = Count_.isCounted(Now) ? Limit_ - Uncounted : Uncounted;
   if (Part < Place_.Routers_)
     return waitForTurn(Endpoint, Part, Now);
-  std::size_t Own = Part / Place_.Routers_ +
-                    (Place_.Index_ < Part % Place_.Routers_ ? 1 : 0);
+  std::size_t Own =
+      Part / Place_.Routers_ + (Place_.Index_ < Part % Place_.Routers_ ? 1 : 0);
   const auto &Sent = Endpoints_.at(Endpoint).Sent_;
   if (Sent.size() < Own)
     return base::Duration::zero();
@@ -106,8 +106,8 @@
   for (std::int64_t Turn = Current; Turn <= Current + Turns; ++Turn) {
     if (Turn % Stride != 0 || (!Sent.empty() && TurnOf(Sent.back()) == Turn))
       continue;
-    std::uint64_t First = Phase + static_cast<std::uint64_t>(Turn / Stride) *
-                                      Takers;
+    std::uint64_t First =
+        Phase + static_cast<std::uint64_t>(Turn / Stride) * Takers;
     if ((Place_.Index_ + First) % Place_.Routers_ >= Takers)
       continue;
     base::Duration Start = FleetTime(TurnTime) * Turn - Time;
--- a/libs/routing/src/direct-pool.cpp
+++ b/libs/routing/src/direct-pool.cpp
@@ -48,8 +48,8 @@
 /// many times a second; the latest one alone would send the requests of all
 /// routers to the same endpoint.
 constexpr Milliseconds WorkTimeAveragingTime{1000};
-/// Bounds of the weight of one stated work time. The upper one holds for routers
-/// that hear of an endpoint only every few seconds.
+/// Bounds of the weight of one stated work time. The upper one holds for
+/// routers that hear of an endpoint only every few seconds.
 constexpr double MinWorkTimeWeight = 0.05;
 constexpr double MaxWorkTimeWeight = 0.3;
 constexpr double MinWorkTime = 0.2;
@@ -636,10 +636,10 @@
     return;
   Impl_->StatesWorkTime_ = true;
   double Previous = Impl_->workTime(*Target, Now);
-  double Weight = std::clamp(
-      1 - std::exp(-Milliseconds(Now - Target->WorkTimeAt_) /
-                   WorkTimeAveragingTime),
-      MinWorkTimeWeight, MaxWorkTimeWeight);
+  double Weight =
+      std::clamp(1 - std::exp(-Milliseconds(Now - Target->WorkTimeAt_) /
+                              WorkTimeAveragingTime),
+                 MinWorkTimeWeight, MaxWorkTimeWeight);
   double Stated = std::clamp(*Load.WorkTime_, MinWorkTime, MaxWorkTime);
   Target->WorkTime_ = Previous + Weight * (Stated - Previous);
   Target->WorkTimeAt_ = Now;
--- a/libs/routing/test/cold-limits-test.cpp
+++ b/libs/routing/test/cold-limits-test.cpp
@@ -77,15 +77,14 @@
   for (milliseconds Now = -4s; Now < Length; Now += Step) {
     for (std::size_t Each = 0; Each < All; ++Each) {
       milliseconds From =
-          Each < Case.Routers_ ? -4s
-                               : (2 + static_cast<int>(Each - Case.Routers_)) *
-                                     1000ms;
+          Each < Case.Routers_
+              ? -4s
+              : (2 + static_cast<int>(Each - Case.Routers_)) * 1000ms;
       auto Rank = static_cast<double>(Each);
       auto Count = static_cast<double>(Case.Routers_);
       bool IsCut = Now >= 5s && Rank < Case.CutOff_ * Count;
-      bool IsFrozen =
-          Now >= 6s && Now < 9s && Rank >= (1 - Case.Frozen_) * Count &&
-          Rank < Count;
+      bool IsFrozen = Now >= 6s && Now < 9s &&
+                      Rank >= (1 - Case.Frozen_) * Count && Rank < Count;
       if (Now < From || IsFrozen)
         continue;
       base::TimePoint At = Start + Now;
@@ -118,52 +117,51 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Fleets, ColdFleetTest,
-    testing::Values(
-        FleetCase{.Name_ = "four_routers",
-                  .Routers_ = 4,
-                  .LeastInCalm_ = 15,
-                  .LeastLater_ = 15},
-        FleetCase{.Name_ = "four_routers_half_cut_off",
-                  .Routers_ = 4,
-                  .CutOff_ = 0.5,
-                  .LeastInCalm_ = 15,
-                  .LeastLater_ = 15},
-        FleetCase{.Name_ = "eleven_routers_all_cut_off",
-                  .Routers_ = 11,
-                  .CutOff_ = 1,
-                  .LeastInCalm_ = 15,
-                  .LeastLater_ = 2},
-        FleetCase{.Name_ = "twenty_six_routers_half_cut_off",
-                  .Routers_ = 26,
-                  .CutOff_ = 0.5,
-                  .ClockError_ = 100ms,
-                  .LeastInCalm_ = 7,
-                  .LeastLater_ = 7},
-        FleetCase{.Name_ = "many_routers_half_cut_off",
-                  .Routers_ = 350,
-                  .CutOff_ = 0.5,
-                  .ClockError_ = 100ms,
-                  .LeastInCalm_ = 7,
-                  .LeastLater_ = 7},
-        FleetCase{.Name_ = "frozen_routers_wake_up",
-                  .Routers_ = 11,
-                  .Frozen_ = 0.5,
-                  .ClockError_ = 100ms,
-                  .LeastInCalm_ = 15,
-                  .LeastLater_ = 15},
-        FleetCase{.Name_ = "routers_join",
-                  .Routers_ = 4,
-                  .Joining_ = 8,
-                  .ClockError_ = 100ms,
-                  .LeastInCalm_ = 10,
-                  .LeastLater_ = 10},
-        FleetCase{.Name_ = "small_limit",
-                  .Routers_ = 11,
-                  .ClockError_ = 100ms,
-                  .Limit_ = 1,
-                  .Bound_ = 1,
-                  .LeastInCalm_ = 0.2,
-                  .LeastLater_ = 0.2}),
+    testing::Values(FleetCase{.Name_ = "four_routers",
+                              .Routers_ = 4,
+                              .LeastInCalm_ = 15,
+                              .LeastLater_ = 15},
+                    FleetCase{.Name_ = "four_routers_half_cut_off",
+                              .Routers_ = 4,
+                              .CutOff_ = 0.5,
+                              .LeastInCalm_ = 15,
+                              .LeastLater_ = 15},
+                    FleetCase{.Name_ = "eleven_routers_all_cut_off",
+                              .Routers_ = 11,
+                              .CutOff_ = 1,
+                              .LeastInCalm_ = 15,
+                              .LeastLater_ = 2},
+                    FleetCase{.Name_ = "twenty_six_routers_half_cut_off",
+                              .Routers_ = 26,
+                              .CutOff_ = 0.5,
+                              .ClockError_ = 100ms,
+                              .LeastInCalm_ = 7,
+                              .LeastLater_ = 7},
+                    FleetCase{.Name_ = "many_routers_half_cut_off",
+                              .Routers_ = 350,
+                              .CutOff_ = 0.5,
+                              .ClockError_ = 100ms,
+                              .LeastInCalm_ = 7,
+                              .LeastLater_ = 7},
+                    FleetCase{.Name_ = "frozen_routers_wake_up",
+                              .Routers_ = 11,
+                              .Frozen_ = 0.5,
+                              .ClockError_ = 100ms,
+                              .LeastInCalm_ = 15,
+                              .LeastLater_ = 15},
+                    FleetCase{.Name_ = "routers_join",
+                              .Routers_ = 4,
+                              .Joining_ = 8,
+                              .ClockError_ = 100ms,
+                              .LeastInCalm_ = 10,
+                              .LeastLater_ = 10},
+                    FleetCase{.Name_ = "small_limit",
+                              .Routers_ = 11,
+                              .ClockError_ = 100ms,
+                              .Limit_ = 1,
+                              .Bound_ = 1,
+                              .LeastInCalm_ = 0.2,
+                              .LeastLater_ = 0.2}),
     [](const auto &Info) { return Info.param.Name_; });
 
 // Guards against limits on endpoints that have been warm for long, and against
--- a/libs/routing/test/direct-pool-limits-test.cpp
+++ b/libs/routing/test/direct-pool-limits-test.cpp
@@ -233,16 +233,15 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Figures, WorkTimeTest,
-    testing::Values(WorkTimeCase{"usual", {1}, 100, 10ms, 0.9, 1.1},
-                    WorkTimeCase{"slow_for_long", {2.5}, 400, 10ms, 2, 2.6},
-                    WorkTimeCase{"one_high_figure", {1, 1, 1, 1, 2.5}, 1, 10ms,
-                                 0.9, 1.2},
-                    WorkTimeCase{"swinging", {0.5, 2.5}, 200, 10ms, 1.2, 1.8},
-                    WorkTimeCase{"first_figure", {2.5}, 1, 10ms, 0.9, 1.5},
-                    WorkTimeCase{"rare_reports", {1, 1, 2.5}, 1, 2s, 0.9, 1.5},
-                    WorkTimeCase{"slow_in_rare_reports", {2.5}, 40, 500ms, 1.8,
-                                 2.6},
-                    WorkTimeCase{"absurd", {1e9}, 400, 10ms, 2, 25}),
+    testing::Values(
+        WorkTimeCase{"usual", {1}, 100, 10ms, 0.9, 1.1},
+        WorkTimeCase{"slow_for_long", {2.5}, 400, 10ms, 2, 2.6},
+        WorkTimeCase{"one_high_figure", {1, 1, 1, 1, 2.5}, 1, 10ms, 0.9, 1.2},
+        WorkTimeCase{"swinging", {0.5, 2.5}, 200, 10ms, 1.2, 1.8},
+        WorkTimeCase{"first_figure", {2.5}, 1, 10ms, 0.9, 1.5},
+        WorkTimeCase{"rare_reports", {1, 1, 2.5}, 1, 2s, 0.9, 1.5},
+        WorkTimeCase{"slow_in_rare_reports", {2.5}, 40, 500ms, 1.8, 2.6},
+        WorkTimeCase{"absurd", {1e9}, 400, 10ms, 2, 25}),
     [](const auto &Info) { return Info.param.Name_; });
 
 } // namespace
