--- a/libs/budget/test/loans-test.cpp
+++ b/libs/budget/test/loans-test.cpp
@@ -186,7 +186,7 @@
                                     Fleet_.Now_);
     Fleet_.run(600ms);
   }
-  EXPECT_EQ(status().Used_, Tokens(40 * 1500));
+  EXPECT_EQ(status().Used_, Tokens(60'000));
   EXPECT_EQ(status().Reserved_, Tokens(0));
   EXPECT_LT(status().Granted_.count(), LenderBefore);
   EXPECT_GT(Borrower.Slices_.status(Shop, Fleet_.Now_).Granted_.count(),
