Log which connection an attempt used, and refusals that are believed

A report of a request that ran twice has no logs, and the log of today could not tell its hypotheses apart: nothing is logged when an endpoint's refusal is believed, and attempt_sent names neither the address nor the connection.

attempt_sent has the endpoint's address. attempt_refused is new, with the connection's number and whether it had carried requests before; request_ended, foreign_answer_dropped and answer_unattributable have the number too. New counters attempts_refused by connection and answers_dropped by reason. No decision changes.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -602,6 +602,7 @@
       {{"request", RequestMetadata_.AttemptId_},
        {"route", Route_->Name_},
        {"endpoint", Placement.Endpoint_.str()},
+       {"address", base::toString(Target->Address_)},
        {"software", Target->SoftwareVersion_},
        {"resumes", RequestMetadata_.ResumedAttempt_},
        {"after_event", lastDeliveredId().value_or(0)},
@@ -744,9 +745,12 @@
           ? Success
           : Response.AttemptId_ != RequestMetadata_.AttemptId_;
   if (ForOtherRequest) {
+    Context_.Metrics_.count("answers_dropped", "reason", "other_request");
     observe::log(LogLevel::Warning, "foreign_answer_dropped",
                  {{"request", RequestMetadata_.AttemptId_},
                   {"endpoint", Of.Placement_.Endpoint_.str()},
+                  {"connection", Head.Connection_},
+                  {"status", Head.Status_},
                   {"answer_to", Response.AttemptId_}});
     return net::HeadVerdict::Skip;
   }
@@ -766,6 +770,9 @@
   Of.Unattributable_ = Response.AttemptId_.empty() && Head.ConnectionReused_;
   Of.NotExecuted_ = !Of.Unattributable_ && (Response.NotExecuted_ ||
                                             Head.Status_ == MisdirectedRequest);
+  Of.Connection_ = Head.Connection_;
+  if (Of.NotExecuted_)
+    logRefused(Of, Head, Response);
   Of.Headers_ = makeResponseHeaders(Head.Headers_);
   constexpr unsigned NoContent = 204;
   Of.Streaming_ = Success && Head.Status_ != NoContent && Response.Signed_ &&
@@ -774,6 +781,23 @@
   return net::HeadVerdict::Accept;
 }
 
+void ForwardedRequest::logRefused(const Attempt &Of,
+                                  const net::OriginHead &Head,
+                                  const ResponseMetadata &Response) const {
+  Context_.Metrics_.count("attempts_refused", "connection",
+                          Head.ConnectionReused_ ? "kept" : "new");
+  observe::log(LogLevel::Info, "attempt_refused",
+               {{"request", RequestMetadata_.AttemptId_},
+                {"endpoint", Of.Placement_.Endpoint_.str()},
+                {"address", base::toString(Of.Target_.Address_)},
+                {"send", Of.Number_},
+                {"status", Head.Status_},
+                {"connection", Head.Connection_},
+                {"kept", Head.ConnectionReused_},
+                {"has_id", !Response.AttemptId_.empty()},
+                {"after_ms", toMilliseconds(Of.LastProgressAt_ - Of.SentAt_)}});
+}
+
 void ForwardedRequest::applyEndpointState(const Attempt &Of,
                                           const ResponseMetadata &Response,
                                           base::TimePoint Now) {
@@ -1080,6 +1104,7 @@
     observe::log(LogLevel::Warning, "answer_unattributable",
                  {{"request", RequestMetadata_.AttemptId_},
                   {"endpoint", Attempt_.Placement_.Endpoint_.str()},
+                  {"connection", Attempt_.Connection_},
                   {"status", Attempt_.Status_}});
     onAttemptFailed("unattributable", routing::FailureKind::Failed);
     return;
@@ -1366,6 +1391,7 @@
        {"no_repeat", NoRepeat_},
        {"lender", Loan_ ? Loan_->Lender_ : ""},
        {"endpoint", Attempt_.Placement_.Endpoint_.str()},
+       {"connection", Attempt_.Connection_},
        {"events", EventStream_.eventCount()},
        {"ends_by_close", Attempt_.EndsByClose_},
        {"unfinished_bytes", Attempt_.UnfinishedBytes_},
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -64,6 +64,8 @@
     base::TimePoint LastProgressAt_{};
     /// Longest time between two events of a stream so far.
     base::Duration LongestGap_{0};
+    /// Connection on which the response head arrived; 0 until then.
+    std::uint64_t Connection_ = 0;
     bool HeadReceived_ = false;
     bool NotExecuted_ = false;
     /// The response may belong to an earlier request on the same connection.
@@ -147,6 +149,9 @@
   /// Takes the head of a response over into the attempt, unless it belongs to
   /// another request.
   net::HeadVerdict readHead(Attempt &Of, const net::OriginHead &Head);
+  /// Logs a response that says that the attempt was not run.
+  void logRefused(const Attempt &Of, const net::OriginHead &Head,
+                  const ResponseMetadata &Response) const;
   /// Applies what the endpoint of an attempt states about itself in a response.
   void applyEndpointState(const Attempt &Of, const ResponseMetadata &Response,
                           base::TimePoint Now);
--- a/libs/net/include/camphorwind/net/origin-client.h
+++ b/libs/net/include/camphorwind/net/origin-client.h
@@ -50,6 +50,8 @@
   /// The connection has carried other requests before: an answer that does not
   /// say which request it belongs to may be a late one to them.
   bool ConnectionReused_ = false;
+  /// Number of the connection among those that this client has made, from 1.
+  std::uint64_t Connection_ = 0;
 };
 
 /// What to do with an answer whose head has arrived.
--- a/libs/net/src/origin-client.cpp
+++ b/libs/net/src/origin-client.cpp
@@ -102,6 +102,8 @@
   }
 
   base::Address Endpoint_;
+  /// As in OriginHead::Connection_.
+  std::uint64_t Number_ = 0;
   Socket Socket_;
   FdWatcher Watcher_;
   /// Limits connecting, or idle time.
@@ -201,6 +203,7 @@
     }
     ++Counters_.Connects_;
     ConnectionPtr Made = make(std::move(Opened).value());
+    Made->Number_ = Counters_.Connects_;
     Made->Endpoint_ = Call.Request_.Endpoint_;
     Made->Connecting_ = true;
     ++To.Open_;
@@ -277,6 +280,7 @@
     std::shared_ptr<OriginCall> Call = Self.Call_;
     OriginHead Marked = Head;
     Marked.ConnectionReused_ = Self.Reused_;
+    Marked.Connection_ = Self.Number_;
     if (Call->Events_.OnHead_(Marked) == HeadVerdict::Accept)
       return;
     Self.Skipping_ = true;
