Show that a copied refusal is believed where its request is under way again

What callers see: a request that must run once runs twice, or gets 503 though it has run.

CopiedRefusalTest has an endpoint that refuses a request, and writes the refusal once more where the next answer on the connection is due.

The comment of StreamEndCase is moved back to where it belongs.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -571,7 +571,6 @@
   EXPECT_EQ(Other.Requests_.size(), 0u);
 }
 
-/// One stream whose response ends at HTTP level, and what its caller gets.
 /// An earlier refusal that an endpoint writes once more before its answer to
 /// the next request on the connection.
 struct RepeatedRefusalCase {
@@ -636,6 +635,93 @@
                     RepeatedRefusalCase{"without_id", "", 502}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// A refusal that an endpoint writes once more where the answer to the next
+/// request on the connection is due.
+struct CopiedRefusalCase {
+  std::string_view Name_;
+  RequestKind Kind_ = RequestKind::NonIdempotent;
+  std::string_view Refusal_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const CopiedRefusalCase &Value) {
+  return Out << Value.Name_;
+}
+
+class CopiedRefusalTest
+    : public DirectRouterTest,
+      public testing::WithParamInterface<CopiedRefusalCase> {
+protected:
+  /// Adds an endpoint that refuses its first request, and writes the refusal
+  /// once more before the reply to the second.
+  net::test::ScriptedPeer &addCopyingEndpoint() {
+    std::string Refusal = "HTTP/1.1 " + std::string(GetParam().Refusal_) +
+                          "X-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n";
+    return addScriptedEndpoint(
+        {{.Bytes_ = Refusal, .LateBytes_ = Refusal}, {.Bytes_ = success()}});
+  }
+
+  static std::string success() {
+    bool IsStream = GetParam().Kind_ == RequestKind::Stream;
+    std::string Body = IsStream ? FakeEndpoint::event(1) : "whole";
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Signature: s\r\n"
+           "Content-Length: " +
+           std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  }
+
+  /// Requests that endpoints did not refuse. Each copying endpoint that got a
+  /// request has refused one.
+  std::size_t runs() const {
+    std::size_t Sum = receivedRequests();
+    for (const auto &Each : ScriptedEndpoints_)
+      Sum += std::max<std::size_t>(Each->requests(), 1) - 1;
+    return Sum;
+  }
+};
+
+/// Guards against a second run of a request that must run once: one address is
+/// listed under two ids, the request is refused at the first, goes to the
+/// second on the same connection, and the copy of the refusal is taken for the
+/// answer of the second.
+TEST_P(CopiedRefusalTest, ProvesNothingAtAnAddressThatIsListedTwice) {
+  configure(GetParam().Kind_);
+  net::test::ScriptedPeer &Copying = addCopyingEndpoint();
+  list("s1-restarted", Copying.address());
+  Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+  list("other", Endpoints_.back()->address(), "far");
+  CallerResponse Response = fetch(makeCall());
+  EXPECT_EQ(Response.Status_, 200u);
+  EXPECT_EQ(Copying.requests(), 2u);
+  EXPECT_EQ(runs(), 1u);
+}
+
+/// Guards against a second run, and against a refusal that claims that the
+/// request has not run: the caller sends a refused request again with the id
+/// that it had, and the copy of the first refusal is taken for the answer.
+TEST_P(CopiedRefusalTest, ProvesNothingOfARequestThatIsSentAgain) {
+  configure(GetParam().Kind_);
+  addCopyingEndpoint();
+  addCopyingEndpoint();
+  EXPECT_EQ(fetch(makeCall()).Status_, 503u);
+  EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+  EXPECT_EQ(runs(), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Refusals, CopiedRefusalTest,
+    testing::Values(
+        CopiedRefusalCase{"misdirected", NonIdempotent,
+                          "421 Misdirected Request\r\n"},
+        CopiedRefusalCase{"not_executed", NonIdempotent,
+                          "503 Service Unavailable\r\nX-Not-Executed: 1\r\n"},
+        CopiedRefusalCase{"too_many_requests", NonIdempotent,
+                          "429 Too Many Requests\r\nX-Not-Executed: 1\r\n"},
+        CopiedRefusalCase{"stream_misdirected", Stream,
+                          "421 Misdirected Request\r\n"},
+        CopiedRefusalCase{"repeatable_not_executed", Idempotent,
+                          "503 Service Unavailable\r\nX-Not-Executed: 1\r\n"}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
+/// One stream whose response ends at HTTP level, and what its caller gets.
 struct StreamEndCase {
   std::string_view Name_;
   net::test::Reply Reply_;
--- a/libs/net/test/scripted-peer.h
+++ b/libs/net/test/scripted-peer.h
@@ -27,6 +27,9 @@
   bool Early_ = false;
   /// Sent after Bytes_ again and again, until the caller closes.
   std::string Endless_;
+  /// Sent once the next request on the connection has arrived, before the reply
+  /// to it, like an answer too many that is late.
+  std::string LateBytes_;
 };
 
 /// Accepts connections and answers each request with the next scripted reply.
@@ -82,6 +85,8 @@
     Socket Socket_;
     std::unique_ptr<FdWatcher> Watcher_;
     std::string Input_;
+    /// As in Reply::LateBytes_.
+    std::string LateBytes_;
   };
 
   void accept() {
@@ -130,8 +135,9 @@
     if (!Answer_ && Next_ >= Script_.size())
       return;
     const Reply Now = Answer_ ? Answer_(Request) : Script_[Next_++];
-    ::send(From.Socket_.fd(), Now.Bytes_.data(), Now.Bytes_.size(),
-           MSG_NOSIGNAL);
+    std::string Bytes =
+        std::exchange(From.LateBytes_, Now.LateBytes_) + Now.Bytes_;
+    ::send(From.Socket_.fd(), Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
     if (!Now.Endless_.empty())
       flood(From, Now.Endless_);
     else if (Now.Then_ == Then::Crash)
