Let a connection to an endpoint carry each request id at most once

Cause: an answer is matched to an attempt by the id of the caller's attempt, which several sends can share. Where two of them use one connection, a late copy of the first one's refusal is taken for the answer to the second: the router believes "not run", and sends the request on or refuses it, while the endpoint runs it. Two sends of one id met on one connection where an address was listed under two endpoint ids (the router excludes ids that it has tried, connections are kept by address), and where a caller sent an attempt again with its id.

Change: OriginRequest has the id, and a connection that has carried it is passed over; at the limit of connections an idle one makes room. So the id tells the attempt on each connection, whoever sends it and for whatever reason, and no answer has to be doubted. Connections are closed after 1,000 requests, which bounds the memory for ids. Closing after each refusal would have cost overloaded endpoints a new connection for each refused request; doubting a refusal would have failed requests that did not run.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -563,6 +563,7 @@
 
   net::OriginRequest Outgoing;
   Outgoing.Endpoint_ = Target->Address_;
+  Outgoing.Id_ = RequestMetadata_.AttemptId_;
   Outgoing.Method_ = Request_.Method_;
   Outgoing.Target_ = Request_.Target_;
   Outgoing.Headers_ = attemptHeaders(*Target, Placement);
--- a/libs/net/include/camphorwind/net/origin-client.h
+++ b/libs/net/include/camphorwind/net/origin-client.h
@@ -26,6 +26,10 @@
 /// One request to an endpoint, by address; names are never resolved.
 struct OriginRequest {
   base::Address Endpoint_;
+  /// Id that the peer repeats in its answer; empty for none. A connection
+  /// carries each id at most once: a late copy of the answer to an earlier
+  /// request with the same id could not be told from the answer to this one.
+  std::string Id_;
   std::string Method_ = "GET";
   /// Path with query, as it goes into the request line.
   std::string Target_ = "/";
@@ -98,6 +102,9 @@
   std::size_t ConnectionsPerEndpoint_ = 64;
   /// Idle connections kept to one endpoint.
   std::size_t IdlePerEndpoint_ = 32;
+  /// Requests with an id that one connection carries before it is closed, which
+  /// bounds the memory for their ids.
+  std::size_t IdsPerConnection_ = 1000;
   /// A connection idle for longer is closed.
   std::chrono::milliseconds IdleTimeout_{30000};
   /// Largest header section, trailer or line of an answer, in bytes.
@@ -109,6 +116,8 @@
   std::uint64_t Connects_ = 0;
   std::uint64_t ConnectFailures_ = 0;
   std::uint64_t Reuses_ = 0;
+  /// Idle connections not used because they had carried the request's id.
+  std::uint64_t RepeatedIds_ = 0;
   /// Answers dropped because they belonged to other requests.
   std::uint64_t ForeignAnswers_ = 0;
   /// Connections closed because bytes followed a complete answer.
--- a/libs/net/src/origin-client.cpp
+++ b/libs/net/src/origin-client.cpp
@@ -104,6 +104,8 @@
   base::Address Endpoint_;
   /// As in OriginHead::Connection_.
   std::uint64_t Number_ = 0;
+  /// Hashes of the ids of the requests that the connection has carried.
+  std::vector<std::size_t> CarriedIds_;
   Socket Socket_;
   FdWatcher Watcher_;
   /// Limits connecting, or idle time.
@@ -130,6 +132,16 @@
   bool SendFailed_ = false;
   bool Dead_ = false;
 
+  bool hasCarried(const std::string &Id) const {
+    return !Id.empty() &&
+           std::find(CarriedIds_.begin(), CarriedIds_.end(),
+                     std::hash<std::string>()(Id)) != CarriedIds_.end();
+  }
+  void addCarried(const std::string &Id) {
+    if (!Id.empty())
+      CarriedIds_.push_back(std::hash<std::string>()(Id));
+  }
+
   std::size_t bodySize() const {
     return Call_->Request_.Body_ ? Call_->Request_.Body_->size() : 0;
   }
@@ -166,7 +178,7 @@
 
   void begin(OriginCall Call) {
     Peer &To = peer(Call.Request_.Endpoint_);
-    if (ConnectionPtr Kept = takeIdle(To, Call.Request_.MaxIdle_)) {
+    if (ConnectionPtr Kept = takeIdle(To, Call.Request_)) {
       ++Counters_.Reuses_;
       Kept->Reused_ = true;
       assign(Kept, std::move(Call));
@@ -175,20 +187,39 @@
     connect(To, std::move(Call));
   }
 
-  ConnectionPtr takeIdle(Peer &From, std::chrono::milliseconds MaxIdle) {
-    while (!From.Idle_.empty()) {
-      ConnectionPtr Last = From.Idle_.back();
-      From.Idle_.pop_back();
-      auto Age = Owner_.now() - Last->IdleSince_;
-      if (!Last->Dead_ && Age < std::min(MaxIdle, Last->KeepFor_))
-        return Last;
-      if (!Last->Dead_)
-        destroy(Last);
+  /// Returns the connection that was used last of those that the request may
+  /// use, or null. Closes those that have been idle for too long.
+  ConnectionPtr takeIdle(Peer &From, const OriginRequest &For) {
+    for (std::size_t Index = From.Idle_.size(); Index-- > 0;) {
+      ConnectionPtr Each = From.Idle_[Index];
+      auto Age = Owner_.now() - Each->IdleSince_;
+      bool Fresh = !Each->Dead_ && Age < std::min(For.MaxIdle_, Each->KeepFor_);
+      if (Fresh && Each->hasCarried(For.Id_)) {
+        ++Counters_.RepeatedIds_;
+        continue;
+      }
+      From.Idle_.erase(From.Idle_.begin() + static_cast<std::ptrdiff_t>(Index));
+      if (Fresh)
+        return Each;
+      if (!Each->Dead_)
+        destroy(Each);
     }
     return nullptr;
   }
 
+  /// Closes the connection that has been idle for longest, if there is one.
+  void closeOldestIdle(Peer &Of) {
+    if (Of.Idle_.empty())
+      return;
+    ConnectionPtr Oldest = Of.Idle_.front();
+    Of.Idle_.erase(Of.Idle_.begin());
+    destroy(Oldest);
+  }
+
   void connect(Peer &To, OriginCall Call) {
+    // Idle connections that the request may not use make room for a new one.
+    if (To.Open_ >= To.Limit_)
+      closeOldestIdle(To);
     if (To.Open_ >= To.Limit_) {
       fail(std::move(Call), {OriginErrorKind::TooManyConnections, false,
                              "limit of connections reached"});
@@ -235,6 +266,7 @@
     To->SkippedAnswers_ = 0;
     To->SkippedBytes_ = 0;
     To->Reading_ = true;
+    To->addCarried(Call.Request_.Id_);
     To->Call_ = std::make_shared<OriginCall>(std::move(Call));
     ByCall_[To->Call_->Id_] = To;
     newParser(*To);
@@ -516,6 +548,7 @@
   void makeIdle(const ConnectionPtr &Self) {
     Peer &To = peer(Self->Endpoint_);
     if (To.Idle_.size() >= Limits_.IdlePerEndpoint_ ||
+        Self->CarriedIds_.size() >= Limits_.IdsPerConnection_ ||
         Self->KeepFor_.count() <= 0) {
       destroy(Self);
       return;
--- a/libs/net/test/origin-client-test.cpp
+++ b/libs/net/test/origin-client-test.cpp
@@ -237,6 +237,52 @@
   EXPECT_EQ(Peer_->requests(), 2u);
 }
 
+struct ReuseCase {
+  std::string_view Name_;
+  /// Ids of successive requests.
+  std::vector<std::string> Ids_;
+  std::size_t Connections_ = 1;
+  OriginClientLimits Limits_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ReuseCase &Value) {
+  return Out << Value.Name_;
+}
+
+class OriginClientReuseTest : public OriginClientTest,
+                              public testing::WithParamInterface<ReuseCase> {};
+
+/// Guards against a late copy of an answer that is taken for the answer to a
+/// later request with the same id on the same connection.
+TEST_P(OriginClientReuseTest, ConnectionCarriesEachIdOnce) {
+  listen(std::vector<Reply>(GetParam().Ids_.size(), Ok), GetParam().Limits_);
+  for (const std::string &Each : GetParam().Ids_) {
+    OriginRequest Request = request();
+    Request.Id_ = Each;
+    EXPECT_TRUE(run(Request).Whole_);
+  }
+  EXPECT_EQ(Peer_->connections(), GetParam().Connections_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ids, OriginClientReuseTest,
+    testing::Values(ReuseCase{"different", {"a", "b", "c"}, 1},
+                    ReuseCase{"none", {"", "", ""}, 1},
+                    ReuseCase{"repeated", {"a", "a"}, 2},
+                    ReuseCase{"repeated_later", {"a", "b", "c", "a"}, 2},
+                    ReuseCase{"on_all_idle_connections", {"a", "a", "a"}, 3},
+                    ReuseCase{"other_after_repeated", {"a", "a", "b", "c"}, 2},
+                    // The limit of connections is reached by one that is idle.
+                    ReuseCase{"at_the_limit_of_connections",
+                              {"a", "a", "b"},
+                              2,
+                              {.ConnectionsPerEndpoint_ = 1}},
+                    ReuseCase{"more_ids_than_a_connection_holds",
+                              {"a", "b", "c", "d", "e"},
+                              3,
+                              {.IdsPerConnection_ = 2}}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 TEST_F(OriginClientTest, NeverRepeatsARequestThatMayHaveReachedThePeer) {
   listen({Ok, Ok});
   run(request());
