Make each call of an agent to its endpoint on a connection of its own

What callers see: where an endpoint writes an answer once more on a kept connection, the caller of the next request gets the answer to the one before.

Endpoints of agents do not repeat an id, so that an answer is matched to an attempt by its place on the connection alone. Calls that must run once had a connection of their own already, repeatable ones did not.

Evidence: AgentAnswerTest.LateCopyIsNotTheAnswerToTheNextAttempt failed before for repeatable calls ("first" instead of "second"), and passes now.

--- a/daemons/agent/agent.cpp
+++ b/daemons/agent/agent.cpp
@@ -291,7 +291,7 @@
                                Action.Bound_, Bill->NonIdempotent_});
   if (!Opened)
     return onEndpointEnd(Action.Attempt_, request::EndpointEnd::NotReached);
-  Caller_.run(Action, Bill->NonIdempotent_);
+  Caller_.run(Action);
 }
 
 void Agent::perform(const request::StopAtEndpoint &Action) {
--- a/daemons/agent/endpoint-caller.cpp
+++ b/daemons/agent/endpoint-caller.cpp
@@ -32,8 +32,7 @@
                                EndpointEvents Events)
     : Http_(Http), Settings_(Settings), Events_(std::move(Events)) {}
 
-void EndpointCaller::run(const request::RunAtEndpoint &Run,
-                         bool NonIdempotent) {
+void EndpointCaller::run(const request::RunAtEndpoint &Run) {
   net::HttpCall Call;
   Call.Method_ = "POST";
   Call.Url_ = "http://" + toString(Settings_.Target_) + Run.Call_.Path_;
@@ -42,7 +41,9 @@
   Call.Body_ = Run.Call_.Body_;
   Call.ConnectTimeout_ = Settings_.ConnectTimeout_;
   Call.StallTimeout_ = Settings_.StallTimeout_;
-  Call.FreshConnection_ = NonIdempotent;
+  // Endpoints do not say which attempt an answer belongs to: on a kept
+  // connection, it may be a late one to an earlier attempt.
+  Call.FreshConnection_ = true;
   net::HttpCallEvents Events;
   Events.OnHead_ = [this, Attempt = Run.Attempt_](unsigned Status,
                                                   std::string_view Type) {
--- a/daemons/agent/endpoint-caller.h
+++ b/daemons/agent/endpoint-caller.h
@@ -32,8 +32,8 @@
   EndpointCaller(net::HttpClient &Http, const AgentSettings &Settings,
                  EndpointEvents Events);
 
-  /// Starts a call. One that may not be repeated gets a connection of its own.
-  void run(const request::RunAtEndpoint &Run, bool NonIdempotent);
+  /// Starts a call, on a connection of its own.
+  void run(const request::RunAtEndpoint &Run);
   /// Ends a call; no event follows for it.
   void stop(const base::AttemptId &Attempt);
   /// The reader of a held back answer has room again.
--- a/daemons/agent/test/endpoint-caller-test.cpp
+++ b/daemons/agent/test/endpoint-caller-test.cpp
@@ -61,7 +61,7 @@
   Run.Bound_ = base::Tokens(1000);
   net::Timer GiveUp(*Loop, [&] { Loop->stop(); });
   GiveUp.start(5s);
-  Caller.run(Run, false);
+  Caller.run(Run);
   Loop->run();
   EXPECT_EQ(End, GetParam().End_);
 }
@@ -83,5 +83,46 @@
         StreamEndCase{"json", "{}", Complete, "application/json"}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against an answer to one attempt that is delivered as the answer to
+/// the next one, because the endpoint wrote it twice on a kept connection.
+TEST(AgentAnswerTest, LateCopyIsNotTheAnswerToTheNextAttempt) {
+  auto Loop = std::move(net::Loop::create().value());
+  auto Client = std::move(net::HttpClient::create(*Loop).value());
+  auto Answer = [](const std::string &Body) {
+    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+           "Content-Length: " +
+           std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  };
+  net::test::ScriptedPeer Peer(
+      *Loop, {{.Bytes_ = Answer("first"), .LateBytes_ = Answer("first")},
+              {.Bytes_ = Answer("second")}});
+  AgentSettings Settings;
+  Settings.Target_ = Peer.address();
+  Settings.ConnectTimeout_ = 1s;
+  Settings.StallTimeout_ = 1s;
+  std::string Body;
+  EndpointEvents Events;
+  Events.OnHead_ = [](const auto &, const auto &) {};
+  Events.OnBytes_ = [&Body](const auto &, const std::string &Bytes) {
+    Body += Bytes;
+  };
+  Events.OnUsage_ = [](const auto &, const auto &) {};
+  Events.HasRoom_ = [](const auto &) { return true; };
+  Events.OnEnd_ = [&](const auto &, const auto &) { Loop->stop(); };
+  EndpointCaller Caller(*Client, Settings, std::move(Events));
+  for (std::string_view Expected : {"first", "second"}) {
+    Body.clear();
+    request::RunAtEndpoint Run;
+    Run.Attempt_ = base::AttemptId(std::string(Expected));
+    Run.Call_.Path_ = "/lookup";
+    Run.Bound_ = base::Tokens(1000);
+    net::Timer GiveUp(*Loop, [&] { Loop->stop(); });
+    GiveUp.start(5s);
+    Caller.run(Run);
+    Loop->run();
+    EXPECT_EQ(Body, Expected);
+  }
+}
+
 } // namespace
 } // namespace camphorwind::agent
