Match the answer of a lender to the loan by its id

What operators could see: a budget overspent, where the answer to a loan that was granted arrives once more and is taken for the answer to the next one. Not seen: the lender is this program, which answers once.

The answer to POST /loans has the id of the loan now. An answer to another loan counts as none: the loan is released, and the next lender is asked. Answers of earlier builds have no id and count as none until all routers are replaced.

--- a/daemons/direct/test/token-loans-test.cpp
+++ b/daemons/direct/test/token-loans-test.cpp
@@ -2,6 +2,7 @@
 
 #include "fake-table.h"
 #include "free-address.h"
+#include "scripted-peer.h"
 
 #include <gtest/gtest.h>
 
@@ -24,8 +25,11 @@
 
 /// A router's slices and loans, without callers and endpoints.
 struct Node {
-  Node(net::Loop &EventLoop, const std::string &Name)
+  /// Other routers ask for loans at \p LoanAddress, if that is set.
+  Node(net::Loop &EventLoop, const std::string &Name,
+       std::optional<base::Address> LoanAddress = std::nullopt)
       : Listen_(net::test::freeAddress()),
+        LoanAddress_(LoanAddress.value_or(Listen_)),
         Slices_(makeEscrow(Name, EventLoop.now())) {
     Slices_.setBudget(Shop, Tokens(Prepaid));
     Loans_ = std::move(
@@ -37,7 +41,7 @@
     Settings.Router_ = base::RouterId(Name);
     Settings.Incarnation_ = base::Incarnation(Name + ".1");
     Settings.StartedAt_ = Now;
-    Settings.LoanAddress_ = base::toString(Listen_);
+    Settings.LoanAddress_ = base::toString(LoanAddress_);
     return std::move(budget::Escrow::create(Settings)).value();
   }
 
@@ -48,6 +52,7 @@
   }
 
   base::Address Listen_;
+  base::Address LoanAddress_;
   budget::Escrow Slices_;
   observe::Metrics Metrics_;
   std::unique_ptr<TokenLoans> Loans_;
@@ -147,6 +152,69 @@
   EXPECT_EQ(lenderStatus().Reserved_, Tokens(2000));
 }
 
+/// A lender whose answers are scripted.
+class LateLoanAnswerTest : public testing::Test {
+protected:
+  LateLoanAnswerTest()
+      : Loop_(std::move(net::Loop::create().value())),
+        Peer_(*Loop_,
+              [this](const std::string &Request) { return answerTo(Request); }),
+        Borrower_(*Loop_, "a"), Lender_(*Loop_, "b", Peer_.address()) {
+    for (Node *Each : {&Lender_, &Borrower_, &Lender_, &Borrower_})
+      Each->sync(Table_, Loop_->now());
+  }
+
+  /// Grants the first loan, writes that answer again where the next one is due,
+  /// and refuses all others.
+  net::test::Reply answerTo(const std::string &Request) {
+    constexpr std::string_view Key = "\"id\":\"";
+    std::size_t Start = Request.find(Key) + Key.size();
+    std::string Id = Request.substr(Start, Request.find('"', Start) - Start);
+    bool Granted = Inquiries_++ == 0;
+    std::string Body =
+        "{\"id\":\"" + Id +
+        "\",\"available\":100000,\"granted\":" + (Granted ? "true}" : "false}");
+    std::string Text =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+        "\r\n\r\n" + Body;
+    net::test::Reply Result{Text};
+    if (Granted)
+      Result.LateBytes_ = Text;
+    return Result;
+  }
+
+  std::optional<TokenLoan> borrow() {
+    budget::LoanRequest Request;
+    Request.Account_ = Shop;
+    Request.Bound_ = Tokens(2000);
+    Request.TimeLeft_ = 1s;
+    std::optional<TokenLoan> Result;
+    bool Asked = Borrower_.Loans_->borrow(Request, [&](auto Granted) {
+      Result = std::move(Granted);
+      Loop_->stop();
+    });
+    EXPECT_TRUE(Asked);
+    if (Asked)
+      Loop_->run();
+    return Result;
+  }
+
+  std::unique_ptr<net::Loop> Loop_;
+  int Inquiries_ = 0;
+  net::test::ScriptedPeer Peer_;
+  budget::test::FakeTable Table_;
+  Node Borrower_;
+  Node Lender_;
+};
+
+/// Guards against tokens that are spent without a lender, because the answer to
+/// an earlier loan that arrives again is taken for the answer to a later one.
+TEST_F(LateLoanAnswerTest, CopyOfAGrantIsNoLoan) {
+  EXPECT_TRUE(borrow());
+  EXPECT_FALSE(borrow());
+  EXPECT_GE(Inquiries_, 2);
+}
+
 /// A message that is no valid loan request or settlement.
 struct MalformedLoanCase {
   std::string Name_;
--- a/daemons/direct/token-loans.cpp
+++ b/daemons/direct/token-loans.cpp
@@ -130,9 +130,10 @@
   bool Granted = Lender_.lend(Escrow_, Request, Now);
   Metrics_.count("token_loans", "lent", Granted ? "granted" : "refused");
   base::Tokens Available = Escrow_.status(Request.Account_, Now).Available_;
-  return net::jsonAnswer(
-      StatusOk,
-      Json{{"granted", Granted}, {"available", Available.count()}}.dump());
+  return net::jsonAnswer(StatusOk, Json{{"id", Request.Id_},
+                                        {"granted", Granted},
+                                        {"available", Available.count()}}
+                                       .dump());
 }
 
 net::HttpAnswer TokenLoans::settleLent(const std::string &Body) {
@@ -193,9 +194,12 @@
   auto Message = Reply && Reply.value().Status_ == StatusOk
                      ? parseObject(Reply.value().Body_)
                      : std::nullopt;
-  if (!Message) {
-    observe::log(observe::LogLevel::Info, "loan_unanswered",
-                 {{"lender", Lender}, {"loan", Request.Id_}});
+  std::string AnswerTo =
+      Message ? textOf(*Message, "id").value_or("") : std::string();
+  if (!Message || AnswerTo != Request.Id_) {
+    observe::log(
+        observe::LogLevel::Info, "loan_unanswered",
+        {{"lender", Lender}, {"loan", Request.Id_}, {"answer_to", AnswerTo}});
     Choice_.unreachable(Lender, Now);
     // The lender may have granted it. Another lender gets another id, so that
     // this settlement cannot end its loan.
