Send calls with a body once: libcurl must not send them again by itself

What operators could see: a budget overspent after the store committed a transaction and its connection was reset before the answer.

Where a kept connection ends before the answer, libcurl sends the call again by itself. The second send of a transaction may be refused with 503 or 429, or its connection may fail, and both are reported as a proof that nothing was done: the router takes returned tokens back that the table has given to others. It holds for each call with a body: transactions of the store, also through another router, and loans.

Change: libcurl gets the body from a callback that it cannot rewind, so that it does not send it again; and an error to connect is no proof once libcurl has taken bytes of the body. Such a call ends as Lost, which each caller treats as an unknown outcome. A connection of its own for each transaction would have cost a round trip each.

--- a/daemons/direct/test/token-loans-test.cpp
+++ b/daemons/direct/test/token-loans-test.cpp
@@ -168,6 +168,10 @@
   /// and refuses all others.
   net::test::Reply answerTo(const std::string &Request) {
     constexpr std::string_view Key = "\"id\":\"";
+    if (Request.find("/loans/settle") != std::string::npos) {
+      ++Settlements_;
+      return {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"};
+    }
     std::size_t Start = Request.find(Key) + Key.size();
     std::string Id = Request.substr(Start, Request.find('"', Start) - Start);
     bool Granted = Inquiries_++ == 0;
@@ -201,6 +205,7 @@
 
   std::unique_ptr<net::Loop> Loop_;
   int Inquiries_ = 0;
+  int Settlements_ = 0;
   net::test::ScriptedPeer Peer_;
   budget::test::FakeTable Table_;
   Node Borrower_;
@@ -212,7 +217,12 @@
 TEST_F(LateLoanAnswerTest, CopyOfAGrantIsNoLoan) {
   EXPECT_TRUE(borrow());
   EXPECT_FALSE(borrow());
-  EXPECT_GE(Inquiries_, 2);
+  EXPECT_EQ(Inquiries_, 2);
+  // The lender may have granted the second loan: it is released.
+  net::Timer Pause(*Loop_, [this] { Loop_->stop(); });
+  Pause.start(100ms);
+  Loop_->run();
+  EXPECT_EQ(Settlements_, 1);
 }
 
 /// A message that is no valid loan request or settlement.
--- a/libs/net/include/camphorwind/net/http-client.h
+++ b/libs/net/include/camphorwind/net/http-client.h
@@ -27,8 +27,8 @@
   std::chrono::milliseconds Timeout_{0};
   /// Longest silence of the peer once connected; zero for none.
   std::chrono::milliseconds StallTimeout_{0};
-  /// Uses a connection of its own. A kept connection that turns out dead makes
-  /// libcurl send the call again, so calls that may not repeat set this.
+  /// Uses a connection of its own. If a kept connection turns out dead, libcurl
+  /// sends a call without a body again, and one with a body ends as Lost.
   bool FreshConnection_ = false;
 };
 
--- a/libs/net/src/http-client.cpp
+++ b/libs/net/src/http-client.cpp
@@ -31,6 +31,8 @@
   curl_slist *HeaderList_ = nullptr;
   HttpCall Call_;
   HttpCallEvents Events_;
+  /// Bytes of the body that libcurl has taken.
+  std::size_t BodyTaken_ = 0;
   bool HeadSeen_ = false;
   /// The empty line after the last head has arrived.
   bool HeadWhole_ = false;
@@ -43,19 +45,22 @@
 
 namespace {
 
-HttpCallErrorKind kindOf(CURLcode Code, CURL *Easy) {
+HttpCallErrorKind kindOf(CURLcode Code, const Transfer &Self) {
   curl_off_t ConnectTime = 0;
-  curl_easy_getinfo(Easy, CURLINFO_PRETRANSFER_TIME_T, &ConnectTime);
+  curl_easy_getinfo(Self.Easy_, CURLINFO_PRETRANSFER_TIME_T, &ConnectTime);
   switch (Code) {
   case CURLE_COULDNT_CONNECT:
   case CURLE_COULDNT_RESOLVE_HOST:
   case CURLE_URL_MALFORMAT:
   case CURLE_UNSUPPORTED_PROTOCOL:
-    return HttpCallErrorKind::NotSent;
+    // libcurl connects once more if a kept connection ended after the send.
+    return Self.BodyTaken_ == 0 ? HttpCallErrorKind::NotSent
+                                : HttpCallErrorKind::Lost;
   case CURLE_OPERATION_TIMEDOUT:
     // Zero until the connection stands.
-    return ConnectTime == 0 ? HttpCallErrorKind::NotSent
-                            : HttpCallErrorKind::TimedOut;
+    return ConnectTime == 0 && Self.BodyTaken_ == 0
+               ? HttpCallErrorKind::NotSent
+               : HttpCallErrorKind::TimedOut;
   case CURLE_WEIRD_SERVER_REPLY:
     return HttpCallErrorKind::Malformed;
   default:
@@ -127,6 +132,16 @@
   return Length >= 0 || isChunked(Self.Easy_);
 }
 
+std::size_t takeBody(char *Into, std::size_t Size, std::size_t Count,
+                     void *Target) {
+  auto &Self = *static_cast<Transfer *>(Target);
+  std::string_view Left = Self.Call_.Body_;
+  Left.remove_prefix(Self.BodyTaken_);
+  std::size_t Bytes = Left.copy(Into, Size * Count);
+  Self.BodyTaken_ += Bytes;
+  return Bytes;
+}
+
 std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                    void *Target) {
   auto &Self = *static_cast<Transfer *>(Target);
@@ -240,8 +255,7 @@
         Ended->Events_.OnEnd_(Status);
       return;
     }
-    HttpCallError Error{detail::kindOf(Code, Ended->Easy_),
-                        curl_easy_strerror(Code)};
+    HttpCallError Error{detail::kindOf(Code, *Ended), curl_easy_strerror(Code)};
     if (Ended->Events_.OnEnd_)
       Ended->Events_.OnEnd_(base::failure(std::move(Error)));
   }
@@ -332,7 +346,11 @@
   curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Kept.Method_.c_str());
   if (!Kept.Body_.empty() || Kept.Method_ == "POST") {
-    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Kept.Body_.data());
+    // libcurl sends a call again by itself if its kept connection ends before
+    // the answer, unless it cannot rewind the body.
+    curl_easy_setopt(Easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(Easy, CURLOPT_READFUNCTION, detail::takeBody);
+    curl_easy_setopt(Easy, CURLOPT_READDATA, Self.get());
     curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(Kept.Body_.size()));
   }
--- a/libs/net/src/origin-client.cpp
+++ b/libs/net/src/origin-client.cpp
@@ -207,10 +207,8 @@
     return nullptr;
   }
 
-  /// Closes the connection that has been idle for longest, if there is one.
+  /// Closes the connection that has been idle for longest; there must be one.
   void closeOldestIdle(Peer &Of) {
-    if (Of.Idle_.empty())
-      return;
     ConnectionPtr Oldest = Of.Idle_.front();
     Of.Idle_.erase(Of.Idle_.begin());
     destroy(Oldest);
@@ -218,7 +216,7 @@
 
   void connect(Peer &To, OriginCall Call) {
     // Idle connections that the request may not use make room for a new one.
-    if (To.Open_ >= To.Limit_)
+    while (To.Open_ >= To.Limit_ && !To.Idle_.empty())
       closeOldestIdle(To);
     if (To.Open_ >= To.Limit_) {
       fail(std::move(Call), {OriginErrorKind::TooManyConnections, false,
--- a/libs/net/test/http-client-test.cpp
+++ b/libs/net/test/http-client-test.cpp
@@ -66,6 +66,47 @@
   EXPECT_EQ(errorOf(Call), HttpCallErrorKind::NotSent);
 }
 
+struct SentOnceCase {
+  std::string_view Name_;
+  /// What the peer does to the connection of the second call.
+  test::Then Then_ = test::Then::Close;
+  std::string Body_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const SentOnceCase &Value) {
+  return Out << Value.Name_;
+}
+
+class SentOnceTest : public HttpClientTest,
+                     public testing::WithParamInterface<SentOnceCase> {};
+
+/// Guards against a call that was carried out and is reported as refused: its
+/// kept connection ends before the answer, and the answer to a second send,
+/// which the caller did not ask for, is taken for the answer to the first.
+TEST_P(SentOnceTest, CallWithABodyIsNotSentAgain) {
+  const test::Reply Ok{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+  const test::Reply Refusal{
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"};
+  test::ScriptedPeer Peer(*Owner_, {Ok, {"", GetParam().Then_}, Refusal});
+  HttpCall Call;
+  Call.Method_ = "POST";
+  Call.Url_ = "http://" + toString(Peer.address()) + "/rows-tx";
+  Call.Body_ = GetParam().Body_;
+  EXPECT_EQ(errorOf(Call), std::nullopt);
+  EXPECT_EQ(errorOf(Call), HttpCallErrorKind::Lost);
+  EXPECT_EQ(Peer.requests(), 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ends, SentOnceTest,
+    testing::Values(SentOnceCase{"closed", test::Then::Close, "{}"},
+                    SentOnceCase{"reset", test::Then::Reset, "{}"},
+                    SentOnceCase{"and_the_peer_is_gone", test::Then::Crash,
+                                 "{}"},
+                    SentOnceCase{"large_body", test::Then::Reset,
+                                 std::string(100'000, 'x')}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 TEST_F(HttpClientTest, SilentPeerIsStalled) {
   HttpCall Call = call();
   Call.StallTimeout_ = std::chrono::milliseconds(20);
--- a/libs/net/test/origin-client-test.cpp
+++ b/libs/net/test/origin-client-test.cpp
@@ -272,6 +272,7 @@
                     ReuseCase{"repeated_later", {"a", "b", "c", "a"}, 2},
                     ReuseCase{"on_all_idle_connections", {"a", "a", "a"}, 3},
                     ReuseCase{"other_after_repeated", {"a", "a", "b", "c"}, 2},
+                    ReuseCase{"older_connection", {"a", "a", "b", "b"}, 2},
                     // The limit of connections is reached by one that is idle.
                     ReuseCase{"at_the_limit_of_connections",
                               {"a", "a", "b"},
@@ -283,6 +284,19 @@
                               {.IdsPerConnection_ = 2}}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against a request that fails for lack of connections, because idle
+/// ones that it may not use take up all that a lowered limit permits.
+TEST_F(OriginClientTest, IdleConnectionsMakeRoomUnderALoweredLimit) {
+  listen(std::vector<Reply>(3, Ok));
+  OriginRequest Request = request();
+  Request.Id_ = "a";
+  EXPECT_TRUE(run(Request).Whole_);
+  EXPECT_TRUE(run(Request).Whole_);
+  Client_->setConnectionsPerEndpoint(Peer_->address(), 1);
+  EXPECT_TRUE(run(Request).Whole_);
+  EXPECT_EQ(Peer_->connections(), 3u);
+}
+
 TEST_F(OriginClientTest, NeverRepeatsARequestThatMayHaveReachedThePeer) {
   listen({Ok, Ok});
   run(request());
