Use two ids where a test needs two requests on one connection

AnswerWithoutIdOnAReusedConnectionProvesNothing sent one id twice, which no longer reuses a connection, so that its second request met a new one. The second request has an id of its own now, as callers' attempts have; it still expects 502 and one run.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -395,14 +395,15 @@
     Router_->endpointsChanged();
   }
 
-  net::OriginRequest makeCall(std::string Target = "/orders/7") {
+  net::OriginRequest makeCall(std::string Target = "/orders/7",
+                              std::string AttemptId = "a1") {
     net::OriginRequest Result;
     Result.Endpoint_ = Listen_;
     Result.Method_ = "POST";
     Result.Target_ = std::move(Target);
     Result.Headers_ = {{"Host", "shop.example"},
                        {"Authorization", "Bearer secret"},
-                       {"X-Attempt-Id", "a1"},
+                       {"X-Attempt-Id", std::move(AttemptId)},
                        {"X-Time-Left-Ms", "2000"}};
     Result.Body_ = std::make_shared<const std::string>("body");
     return Result;
@@ -566,7 +567,7 @@
   FakeEndpoint &Other = addEndpoint();
   Router_->endpoints().remove(base::EndpointId("e2"), Loop_->now());
   Router_->endpointsChanged();
-  EXPECT_EQ(fetch(makeCall()).Status_, 502u);
+  EXPECT_EQ(fetch(makeCall("/orders/7", "a2")).Status_, 502u);
   EXPECT_EQ(receivedRequests(), 2u);
   EXPECT_EQ(Other.Requests_.size(), 0u);
 }
--- a/libs/net/test/http-client-test.cpp
+++ b/libs/net/test/http-client-test.cpp
@@ -90,7 +90,7 @@
   test::ScriptedPeer Peer(*Owner_, {Ok, {"", GetParam().Then_}, Refusal});
   HttpCall Call;
   Call.Method_ = "POST";
-  Call.Url_ = "http://" + toString(Peer.address()) + "/rows-tx";
+  Call.Url_ = "http://" + toString(Peer.address()) + "/transact";
   Call.Body_ = GetParam().Body_;
   EXPECT_EQ(errorOf(Call), std::nullopt);
   EXPECT_EQ(errorOf(Call), HttpCallErrorKind::Lost);
