Count and log what endpoints send where no answer is due

answers_too_many is logged at most once a second, with what arrived behind an answer, on idle connections, and how many connections were passed over for a carried id. The counter endpoint_connections has these and the connections made and reused. No decision changes.

Measured: BytesOnIdleConnectionsToEndpointsAreCounted passes; a line of an existing test is written differently because GCC 12 warns of it falsely once the file is longer.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -520,6 +520,7 @@
             {{"reason", base::toString(base::RefusalReason::MemoryLimit)},
              {"refused", std::exchange(MemoryRefusals_, 0)},
              {"request_bytes", CallerServer_->requestBytes()}});
+      publishOriginCounters();
     }
     Context_.quarantineChanged();
     Context_.updateClaims();
@@ -529,6 +530,34 @@
       continueStop(Now);
   }
 
+  /// Publishes what the connections to endpoints have counted since the last
+  /// call, and logs answers too many.
+  void publishOriginCounters() {
+    using net::OriginCounters;
+    const OriginCounters Counted = Context_.Origins_.counters();
+    const OriginCounters Before = std::exchange(PublishedOrigins_, Counted);
+    auto Publish = [&](const char *Event, std::uint64_t OriginCounters::*Of) {
+      std::uint64_t Added = Counted.*Of - Before.*Of;
+      if (Added > 0)
+        Context_.Metrics_.count("endpoint_connections", "event", Event,
+                                static_cast<double>(Added));
+      return Added;
+    };
+    Publish("made", &OriginCounters::Connects_);
+    Publish("not_made", &OriginCounters::ConnectFailures_);
+    Publish("reused", &OriginCounters::Reuses_);
+    std::uint64_t Passed = Publish("id_carried", &OriginCounters::RepeatedIds_);
+    std::uint64_t AfterAnswer =
+        Publish("extra_bytes", &OriginCounters::ExtraBytes_);
+    std::uint64_t WhileIdle =
+        Publish("idle_bytes", &OriginCounters::IdleBytes_);
+    if (Passed + AfterAnswer + WhileIdle > 0)
+      observe::log(LogLevel::Warning, "answers_too_many",
+                   {{"after_answer", AfterAnswer},
+                    {"while_idle", WhileIdle},
+                    {"id_carried", Passed}});
+  }
+
   void offerView(ViewPtr Candidate) {
     std::uint64_t PreviousVersion =
         Context_.View_.current() ? Context_.View_.current()->Version_ : 0;
@@ -618,6 +647,8 @@
   std::size_t Routers_ = 1;
   std::optional<base::TimePoint> ClaimsReadAt_;
   base::TimePoint SweptAt_{};
+  /// Counters of the connections to endpoints that are in the metrics.
+  net::OriginCounters PublishedOrigins_;
   bool LoggedReady_ = false;
   bool LoggedOverload_ = false;
   /// Requests refused because of the lag since the last line about it.
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1585,7 +1585,7 @@
   auto ListOthers = [&] {
     for (const std::string &Version : Case.Others_) {
       Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
-      list("e" + std::to_string(Endpoints_.size()),
+      list(std::string("e").append(std::to_string(Endpoints_.size())),
            Endpoints_.back()->address(), "far", Version);
     }
   };
@@ -2503,6 +2503,20 @@
             std::string::npos);
 }
 
+/// Guards against answers too many that leave no trace, because they arrive on
+/// an idle connection.
+TEST_F(DirectRouterTest, BytesOnIdleConnectionsToEndpointsAreCounted) {
+  configure(Idempotent);
+  const std::string Whole = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                            "X-Signature: s\r\nContent-Length: 0\r\n\r\n";
+  net::test::ScriptedPeer &Endpoint = addScriptedEndpoint({{Whole}});
+  EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+  Endpoint.sendToAll(Whole);
+  wait(2200ms);
+  EXPECT_NE(Router_->metrics().text().find("event=\"idle_bytes\"} 1"),
+            std::string::npos);
+}
+
 /// A router whose limit on the memory for requests is what the largest legal
 /// request needs.
 class RequestMemoryTest : public DirectRouterTest {
--- a/libs/net/include/camphorwind/net/origin-client.h
+++ b/libs/net/include/camphorwind/net/origin-client.h
@@ -122,6 +122,9 @@
   std::uint64_t ForeignAnswers_ = 0;
   /// Connections closed because bytes followed a complete answer.
   std::uint64_t ExtraBytes_ = 0;
+  /// Idle connections closed because bytes arrived on them, as those of an
+  /// answer too many that is late.
+  std::uint64_t IdleBytes_ = 0;
 };
 
 using OriginCallId = std::uint64_t;
--- a/libs/net/src/origin-client.cpp
+++ b/libs/net/src/origin-client.cpp
@@ -323,6 +323,9 @@
     if (!Self->Call_) {
       // Nothing is due on an idle connection: the peer closed it or sent bytes
       // that belong to no request.
+      char First = 0;
+      if (::recv(Self->Socket_.fd(), &First, 1, 0) > 0)
+        ++Counters_.IdleBytes_;
       removeIdle(*Self);
       destroy(Self);
       return;
