--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -695,6 +695,16 @@
   EXPECT_EQ(runs(), 1u);
 }
 
+/// Guards against a refusal of a request that runs: as above, and no other
+/// endpoint is left when the copy of the refusal is taken for the answer.
+TEST_P(CopiedRefusalTest, RefusesNothingThatRunsWithoutAnotherEndpoint) {
+  configure(GetParam().Kind_);
+  net::test::ScriptedPeer &Copying = addCopyingEndpoint();
+  list("s1-restarted", Copying.address());
+  EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+  EXPECT_EQ(Copying.requests(), 2u);
+}
+
 /// Guards against a second run, and against a refusal that claims that the
 /// request has not run: the caller sends a refused request again with the id
 /// that it had, and the copy of the first refusal is taken for the answer.
