Take what an endpoint states only from answers to its own request

What callers saw: none seen by users; by the test, an endpoint got no further requests, and callers got 503, because of what it had stated long ago.

Cause: an answer without an id on a connection that has carried other requests proves nothing about the request, but its load, its request limit, its wish for time and its leaving were taken over. A late answer restates what was true before: the class of the copied refusal, a statement that is matched by its place on the connection.

Change: such an answer states nothing.

Evidence: StaleStatementTest, 3 of 3 cases failed before (503 for a request that a sound endpoint would have served), all pass now.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -757,19 +757,20 @@
     return net::HeadVerdict::Skip;
   }
   base::TimePoint Now = Context_.Loop_.now();
+  Of.Unattributable_ = Response.AttemptId_.empty() && Head.ConnectionReused_;
   auto &Selector = Context_.poolState(Pool_).Selector_;
-  if (Response.Load_)
+  if (Response.Load_ && !Of.Unattributable_)
     Selector.loadReported(Of.PoolAttempt_, reportedLoad(*Response.Load_), Now);
   constexpr unsigned MisdirectedRequest = 421;
-  // Another instance than the chosen one answers with 421.
-  if (Head.Status_ != MisdirectedRequest)
+  // Another instance than the chosen one answers with 421, and a late answer
+  // tells what the endpoint stated before.
+  if (Head.Status_ != MisdirectedRequest && !Of.Unattributable_)
     applyEndpointState(Of, Response, Now);
   Of.HeadReceived_ = true;
   Of.LastProgressAt_ = Now;
   Of.Status_ = Head.Status_;
   Of.EndsByClose_ = Head.EndsByClose_;
   Of.Signed_ = Response.Signed_;
-  Of.Unattributable_ = Response.AttemptId_.empty() && Head.ConnectionReused_;
   Of.NotExecuted_ = !Of.Unattributable_ && (Response.NotExecuted_ ||
                                             Head.Status_ == MisdirectedRequest);
   Of.Connection_ = Head.Connection_;
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -572,6 +572,50 @@
   EXPECT_EQ(Other.Requests_.size(), 0u);
 }
 
+/// What an endpoint states about itself in an answer without the id of the
+/// request.
+struct StaleStatementCase {
+  std::string_view Name_;
+  std::string_view Field_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const StaleStatementCase &Value) {
+  return Out << Value.Name_;
+}
+
+class StaleStatementTest
+    : public DirectRouterTest,
+      public testing::WithParamInterface<StaleStatementCase> {};
+
+/// Guards against an endpoint that gets no requests because of what it stated
+/// long ago: a late answer without an id, on a connection that has carried
+/// other requests, is taken for what the endpoint states now.
+TEST_P(StaleStatementTest, IsNotTakenForANewOne) {
+  configure(RequestKind::NonIdempotent);
+  auto Answer = [](std::string_view Id) {
+    std::string Text = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n"
+                       "Content-Length: 0\r\nX-Attempt-Id: ";
+    return Text.append(Id).append("\r\n\r\n");
+  };
+  std::string Late = "HTTP/1.1 503 Service Unavailable\r\n"
+                     "X-Not-Executed: 1\r\nContent-Length: 0\r\n";
+  Late.append(GetParam().Field_).append("\r\n\r\n");
+  net::test::ScriptedPeer &Endpoint =
+      addScriptedEndpoint({{Answer("a1")}, {Late}, {Answer("a3")}});
+  EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+  EXPECT_EQ(fetch(makeCall("/orders/7", "a2")).Status_, 502u);
+  EXPECT_EQ(Endpoint.connections(), 1u);
+  EXPECT_EQ(fetch(makeCall("/orders/7", "a3")).Status_, 200u);
+  EXPECT_EQ(Endpoint.requests(), 3u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Statements, StaleStatementTest,
+    testing::Values(StaleStatementCase{"request_limit", "X-Request-Limit: 0"},
+                    StaleStatementCase{"leaving", "X-Leaving: 1"},
+                    StaleStatementCase{"hold_off", "Retry-After: 5"}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 /// An earlier refusal that an endpoint writes once more before its answer to
 /// the next request on the connection.
 struct RepeatedRefusalCase {
