Match the answer to a settlement to its loan

What happens: tokens of a loan that were not spent stay counted as spent at the lender.

Cause: any answer with status 200 ended a settlement, also the late copy of another answer. The copy of the answer that granted the loan has the loan's id as well, so that the id alone would not do.

Change: the lender answers {"settled": id}, and only this ends a settlement.

--- a/daemons/direct/test/token-loans-test.cpp
+++ b/daemons/direct/test/token-loans-test.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <vector>
 
 /// Tests loans between routers on loopback.
 namespace camphorwind::direct {
@@ -164,23 +165,28 @@
       Each->sync(Table_, Loop_->now());
   }
 
+  static std::string json(const std::string &Body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+           "\r\n\r\n" + Body;
+  }
+
   /// Grants the first loan, writes that answer again where the next one is due,
   /// and refuses all others.
   net::test::Reply answerTo(const std::string &Request) {
     constexpr std::string_view Key = "\"id\":\"";
-    if (Request.find("/loans/settle") != std::string::npos) {
-      ++Settlements_;
-      return {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"};
-    }
     std::size_t Start = Request.find(Key) + Key.size();
     std::string Id = Request.substr(Start, Request.find('"', Start) - Start);
+    if (Request.find("/loans/settle") != std::string::npos) {
+      SettledIds_.push_back(Id);
+      // The first settlement gets the answer to one of another loan.
+      std::string Settled = SettledIds_.size() == 1 ? "another" : Id;
+      return {json("{\"settled\":\"" + Settled + "\"}")};
+    }
     bool Granted = Inquiries_++ == 0;
     std::string Body =
         "{\"id\":\"" + Id +
         "\",\"available\":100000,\"granted\":" + (Granted ? "true}" : "false}");
-    std::string Text =
-        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
-        "\r\n\r\n" + Body;
+    std::string Text = json(Body);
     net::test::Reply Result{Text};
     if (Granted)
       Result.LateBytes_ = Text;
@@ -205,7 +211,8 @@
 
   std::unique_ptr<net::Loop> Loop_;
   int Inquiries_ = 0;
-  int Settlements_ = 0;
+  /// Loans whose settlements have arrived.
+  std::vector<std::string> SettledIds_;
   net::test::ScriptedPeer Peer_;
   budget::test::FakeTable Table_;
   Node Borrower_;
@@ -222,7 +229,21 @@
   net::Timer Pause(*Loop_, [this] { Loop_->stop(); });
   Pause.start(100ms);
   Loop_->run();
-  EXPECT_EQ(Settlements_, 1);
+  EXPECT_EQ(SettledIds_.size(), 1u);
+}
+
+/// Guards against a loan whose tokens the lender counts as spent, because the
+/// answer to another settlement is taken for the answer to this one.
+TEST_F(LateLoanAnswerTest, SettlementIsRepeatedUntilItsOwnAnswer) {
+  auto Loan = borrow();
+  ASSERT_TRUE(Loan);
+  Borrower_.Loans_->settle(*Loan, Tokens(500));
+  net::Timer Ticks(*Loop_, [this] { Borrower_.Loans_->tick(); });
+  Ticks.startRepeating(50ms);
+  net::Timer Pause(*Loop_, [this] { Loop_->stop(); });
+  Pause.start(1500ms);
+  Loop_->run();
+  EXPECT_EQ(SettledIds_, (std::vector<std::string>{Loan->Id_, Loan->Id_}));
 }
 
 /// A message that is no valid loan request or settlement.
--- a/daemons/direct/token-loans.cpp
+++ b/daemons/direct/token-loans.cpp
@@ -55,6 +55,14 @@
   return Found != Object.end() && Found->is_boolean() && Found->get<bool>();
 }
 
+/// Returns the message of a successful answer, if it is one.
+std::optional<Json>
+messageOf(const base::Result<net::HttpAnswer, net::HttpCallError> &Reply) {
+  if (!Reply || Reply.value().Status_ != StatusOk)
+    return std::nullopt;
+  return parseObject(Reply.value().Body_);
+}
+
 net::HttpAnswer malformed(const std::string &Path) {
   constexpr unsigned BadRequest = 400;
   observe::log(observe::LogLevel::Warning, "loan_message_malformed",
@@ -143,7 +151,7 @@
   if (!Id || !Spent)
     return malformed("/loans/settle");
   Lender_.settle(Escrow_, *Id, base::Tokens(*Spent), Loop_.now());
-  return net::jsonAnswer(StatusOk, "{}");
+  return net::jsonAnswer(StatusOk, Json{{"settled", *Id}}.dump());
 }
 
 bool TokenLoans::borrow(budget::LoanRequest Request, OnLoan OnEnd) {
@@ -191,9 +199,7 @@
   base::TimePoint Now = Loop_.now();
   const budget::LoanRequest &Request = Open->Request_;
   TokenLoan Loan{Request.Id_, Request.Account_, Lender, Request.Bound_};
-  auto Message = Reply && Reply.value().Status_ == StatusOk
-                     ? parseObject(Reply.value().Body_)
-                     : std::nullopt;
+  auto Message = messageOf(Reply);
   std::string AnswerTo =
       Message ? textOf(*Message, "id").value_or("") : std::string();
   if (!Message || AnswerTo != Request.Id_) {
@@ -234,7 +240,9 @@
       std::move(Call),
       [this, Due = std::move(Due)](
           const base::Result<net::HttpAnswer, net::HttpCallError> &Reply) {
-        if (Reply && Reply.value().Status_ == StatusOk)
+        auto Message = messageOf(Reply);
+        // Not "id": the answer that granted the loan has it too.
+        if (Message && textOf(*Message, "settled") == Due.Loan_.Id_)
           return;
         if (Due.Attempts_ >= MaxSettleAttempts) {
           // The lender counts the whole bound as spent.
--- a/daemons/direct/token-loans.h
+++ b/daemons/direct/token-loans.h
@@ -34,8 +34,10 @@
 /// bodies:
 ///
 ///     POST /loans         {"id", "account", "tokens", "urgent", "left_ms"}
-///                         -> {"granted", "available"}
-///     POST /loans/settle  {"id", "spent"} -> {}
+///                         -> {"id", "granted", "available"}
+///     POST /loans/settle  {"id", "spent"} -> {"settled"}
+///
+/// An answer counts only with the id of its loan, as `id` or `settled`.
 ///
 /// Unknown members are ignored, so that routers of two versions can serve side
 /// by side.
