Deny no run by the status of a request that may have run

What callers saw (by the test and by reading): camphor-router answered 503 or 429 with ran "unknown" or "yes", as when a failed call could not be placed again, or when a router that had been paused could not bill an answer. Callers that go by the status take it as not run.

Cause: the status followed from the reason alone; only camphor-host-router looked at whether the request may have run.

Change: such an answer has status 502. Code and ran stay.

--- a/daemons/common/refusals.cpp
+++ b/daemons/common/refusals.cpp
@@ -151,14 +151,20 @@
   }
 }
 
+unsigned httpStatusOf(const CallerError &Error) {
+  constexpr unsigned BadGateway = 502;
+  unsigned Status = httpStatusOf(Error.Reason_);
+  return Error.Ran_ != base::Ran::No && statesNotRun(Status) ? BadGateway
+                                                             : Status;
+}
+
 std::string errorBody(const CallerError &Error) {
-  ReasonText Text = describe(Error.Reason_);
-  std::string Message = Text.Message_;
+  std::string Message = describe(Error.Reason_).Message_;
   if (!Error.Detail_.empty())
     Message += " " + Error.Detail_;
   nlohmann::ordered_json Body{{"error",
                                {{"message", Message},
-                                {"type", typeOf(Text.Status_)},
+                                {"type", typeOf(httpStatusOf(Error))},
                                 {"param", nullptr},
                                 {"code", toString(Error.Reason_)},
                                 {"ran", toString(Error.Ran_)}}}};
@@ -168,7 +174,7 @@
 
 net::HttpAnswer errorAnswer(const CallerError &Error) {
   net::HttpAnswer Answer =
-      net::jsonAnswer(httpStatusOf(Error.Reason_), errorBody(Error));
+      net::jsonAnswer(httpStatusOf(Error), errorBody(Error));
   if (Error.RetryAfter_)
     Answer.Headers_.add("Retry-After", secondsText(*Error.RetryAfter_));
   // The OpenAI client libraries repeat many failed calls unless told not to.
--- a/daemons/common/refusals.h
+++ b/daemons/common/refusals.h
@@ -23,9 +23,13 @@
   bool NonIdempotent_ = false;
 };
 
-/// Returns the HTTP status for \p Reason.
+/// Returns the HTTP status for \p Reason if the request has not run.
 unsigned httpStatusOf(base::RefusalReason Reason);
 
+/// Returns the HTTP status for \p Error: that of its reason, or 502 if the
+/// request may have run and that status would deny it.
+unsigned httpStatusOf(const CallerError &Error);
+
 /// Whether a final response with \p Status tells callers that the request has
 /// not run and never will: 408, 421, 429 or 503.
 bool statesNotRun(unsigned Status);
