Answer no call with an engine's 408 or 421

Cause: agents handed an engine's 408 and 421 on as the answer to the call, by which callers take it as not run though the engine may have run it. 429 and 5xx were repeated already.

Change: 408 and 421 of an engine count as failures too; another engine is tried, or the caller gets 502. A plain service's answers are passed on as before, as docs/http-api.md says.

Evidence: EngineErrorTest, 2 of 5 cases failed before, all pass now.

--- a/daemons/agent/endpoint-caller.cpp
+++ b/daemons/agent/endpoint-caller.cpp
@@ -1,5 +1,7 @@
 #include "endpoint-caller.h"
 
+#include "../common/refusals.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,7 +11,6 @@
 
 constexpr unsigned FirstErrorStatus = 400;
 constexpr unsigned FirstServerErrorStatus = 500;
-constexpr unsigned StatusTooManyRequests = 429;
 
 request::EndpointEnd endOf(const net::HttpCallError &Error) {
   switch (Error.Kind_) {
@@ -127,11 +128,12 @@
                                       : endOf(End.value()));
 }
 
-/// An engine's server errors and 429 are answered by another engine; a plain
+/// An engine's server errors are answered by another engine, and so are the
+/// statuses by which a caller would take the call for not run. A plain
 /// service's answers all go to the caller, since the call may have run.
 request::EndpointEnd EndpointCaller::endOf(unsigned Status) const {
   bool Retriable =
-      Status >= FirstServerErrorStatus || Status == StatusTooManyRequests;
+      Status >= FirstServerErrorStatus || daemons::statesNotRun(Status);
   if (Settings_.Kind_ == EndpointKind::ModelEngine && Retriable)
     return request::EndpointEnd::Failed;
   return request::EndpointEnd::Complete;
--- a/daemons/agent/test/endpoint-caller-test.cpp
+++ b/daemons/agent/test/endpoint-caller-test.cpp
@@ -83,6 +83,60 @@
         StreamEndCase{"json", "{}", Complete, "application/json"}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// An error status of an engine, and whether its answer is the caller's.
+struct EngineErrorCase {
+  std::string_view Name_;
+  std::string_view StatusLine_;
+  request::EndpointEnd End_ = Failed;
+};
+
+std::ostream &operator<<(std::ostream &Out, const EngineErrorCase &Value) {
+  return Out << Value.Name_;
+}
+
+class EngineErrorTest : public testing::TestWithParam<EngineErrorCase> {};
+
+/// Guards against callers that are told "not run" of a call that may have run,
+/// by the status of an engine's answer.
+TEST_P(EngineErrorTest, StatusOfRefusalsIsNotTheCallersAnswer) {
+  auto Loop = std::move(net::Loop::create().value());
+  auto Client = std::move(net::HttpClient::create(*Loop).value());
+  std::string Answer = "HTTP/1.1 ";
+  Answer.append(GetParam().StatusLine_).append("\r\nContent-Length: 0\r\n\r\n");
+  net::test::ScriptedPeer Peer(*Loop, {{Answer}});
+  AgentSettings Settings;
+  Settings.Target_ = Peer.address();
+  Settings.ConnectTimeout_ = 1s;
+  Settings.StallTimeout_ = 1s;
+  std::optional<request::EndpointEnd> End;
+  EndpointEvents Events;
+  Events.OnHead_ = [](const auto &, const auto &) {};
+  Events.OnUsage_ = [](const auto &, const auto &) {};
+  Events.OnEnd_ = [&](const base::AttemptId &, request::EndpointEnd Ended) {
+    End = Ended;
+    Loop->stop();
+  };
+  EndpointCaller Caller(*Client, Settings, std::move(Events));
+  request::RunAtEndpoint Run;
+  Run.Attempt_ = base::AttemptId("a1");
+  Run.Call_.Path_ = "/v1/chat/completions";
+  net::Timer GiveUp(*Loop, [&] { Loop->stop(); });
+  GiveUp.start(5s);
+  Caller.run(Run);
+  Loop->run();
+  EXPECT_EQ(End, GetParam().End_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Statuses, EngineErrorTest,
+    testing::Values(
+        EngineErrorCase{"timeout", "408 Request Timeout"},
+        EngineErrorCase{"misdirected", "421 Misdirected Request"},
+        EngineErrorCase{"too_many_requests", "429 Too Many Requests"},
+        EngineErrorCase{"unavailable", "503 Service Unavailable"},
+        EngineErrorCase{"bad_request", "400 Bad Request", Complete}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 /// Guards against an answer to one attempt that is delivered as the answer to
 /// the next one, because the endpoint wrote it twice on a kept connection.
 TEST(AgentAnswerTest, LateCopyIsNotTheAnswerToTheNextAttempt) {
