Take an unreadable answer for sent, also without a body

What could happen: a call without a body that must run once runs twice through agents. Its answer is no HTTP/1, libcurl says "unsupported protocol", and without a body that counted as not sent, so that another endpoint got the call.

Change: that error means a malformed answer. Only failures before a connection stands count as not sent.

Evidence: UnreadableAnswerTest, 2 of 2 cases failed before (not_sent), pass now. Found by a reader of the agents' path.

--- a/libs/net/src/http-client.cpp
+++ b/libs/net/src/http-client.cpp
@@ -52,7 +52,6 @@
   case CURLE_COULDNT_CONNECT:
   case CURLE_COULDNT_RESOLVE_HOST:
   case CURLE_URL_MALFORMAT:
-  case CURLE_UNSUPPORTED_PROTOCOL:
     // libcurl connects once more if a kept connection ended after the send.
     return Self.BodyTaken_ == 0 ? HttpCallErrorKind::NotSent
                                 : HttpCallErrorKind::Lost;
@@ -61,6 +60,8 @@
     return ConnectTime == 0 && Self.BodyTaken_ == 0
                ? HttpCallErrorKind::NotSent
                : HttpCallErrorKind::TimedOut;
+  // Also an answer in an unknown version of HTTP.
+  case CURLE_UNSUPPORTED_PROTOCOL:
   case CURLE_WEIRD_SERVER_REPLY:
     return HttpCallErrorKind::Malformed;
   default:
--- a/libs/net/test/http-client-test.cpp
+++ b/libs/net/test/http-client-test.cpp
@@ -107,6 +107,39 @@
                                  std::string(100'000, 'x')}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// An answer that is not HTTP/1.
+struct UnreadableAnswerCase {
+  std::string_view Name_;
+  std::string_view Bytes_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const UnreadableAnswerCase &Value) {
+  return Out << Value.Name_;
+}
+
+class UnreadableAnswerTest
+    : public HttpClientTest,
+      public testing::WithParamInterface<UnreadableAnswerCase> {};
+
+/// Guards against a second run of a call that was carried out: its answer can't
+/// be read, and without a body the call counts as not sent.
+TEST_P(UnreadableAnswerTest, CallWithoutABodyCountsAsSent) {
+  test::ScriptedPeer Peer(
+      *Owner_, {{std::string(GetParam().Bytes_), test::Then::Close}});
+  HttpCall Call;
+  Call.Method_ = "POST";
+  Call.Url_ = "http://" + toString(Peer.address()) + "/orders";
+  EXPECT_EQ(errorOf(Call), HttpCallErrorKind::Malformed);
+  EXPECT_EQ(Peer.requests(), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, UnreadableAnswerTest,
+    testing::Values(UnreadableAnswerCase{"no_status_line", "garbage\r\n\r\n"},
+                    UnreadableAnswerCase{"unknown_version",
+                                         "HTTP/7.0 200 OK\r\n\r\n"}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 TEST_F(HttpClientTest, SilentPeerIsStalled) {
   HttpCall Call = call();
   Call.StallTimeout_ = std::chrono::milliseconds(20);
