--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -78,6 +78,8 @@
   /// Sends the head of a stream and no event.
   HeadOnly,
   NotFound,
+  /// Answers 429 and does not state that the request has not run.
+  TooManyRequests,
 };
 
 /// Behaviors for successive requests, whichever endpoint receives them. Once
@@ -241,6 +243,8 @@
       return;
     case EndpointBehavior::NotFound:
       return Exchange->respond({404, responseHeaders(), "unknown"});
+    case EndpointBehavior::TooManyRequests:
+      return Exchange->respond({429, responseHeaders(), ""});
     case EndpointBehavior::NoResponse:
       OpenExchanges_.push_back(Exchange);
     }
@@ -1386,6 +1390,16 @@
   EXPECT_EQ(Response.Body_, "unknown");
 }
 
+/// Guards against a sound answer that is lost, because the successor's answer
+/// has a status of refusals and states nothing.
+TEST_F(SuccessorTest, UnstatedRefusalOfTheSuccessorIsNoAnswer) {
+  configure(RequestKind::Idempotent, false, 4000ms);
+  addEndpoints(EndpointBehavior::SilentResponse,
+               EndpointBehavior::TooManyRequests);
+  EXPECT_EQ(fetch(makePatientCall()).Status_, 200u);
+  EXPECT_EQ(receivedRequests(), 2u);
+}
+
 /// Guards against streams that are cut when their silent endpoint breaks off,
 /// because refused successors have used up all sends.
 TEST_F(SuccessorTest, RefusedSuccessorsLeaveASendForABreak) {
