Log connections that are passed over apart from unsolicited bytes

Nothing arrived where a connection is passed over for an id that it has carried, so that it is no warning of what endpoints sent. Bytes that arrive on a kept connection just before the first byte of a request count as well: that is the race closest to the copied refusal.

--- a/daemons/direct/direct-router.cpp
+++ b/daemons/direct/direct-router.cpp
@@ -531,7 +531,7 @@
   }
 
   /// Publishes what the connections to endpoints have counted since the last
-  /// call, and logs answers too many.
+  /// call, and logs what endpoints sent where no answer was due.
   void publishOriginCounters() {
     using net::OriginCounters;
     const OriginCounters Counted = Context_.Origins_.counters();
@@ -546,16 +546,18 @@
     Publish("made", &OriginCounters::Connects_);
     Publish("not_made", &OriginCounters::ConnectFailures_);
     Publish("reused", &OriginCounters::Reuses_);
-    std::uint64_t Passed = Publish("id_carried", &OriginCounters::RepeatedIds_);
+    std::uint64_t PassedOver =
+        Publish("id_carried", &OriginCounters::RepeatedIds_);
     std::uint64_t AfterAnswer =
         Publish("extra_bytes", &OriginCounters::ExtraBytes_);
     std::uint64_t WhileIdle =
         Publish("idle_bytes", &OriginCounters::IdleBytes_);
-    if (Passed + AfterAnswer + WhileIdle > 0)
-      observe::log(LogLevel::Warning, "answers_too_many",
-                   {{"after_answer", AfterAnswer},
-                    {"while_idle", WhileIdle},
-                    {"id_carried", Passed}});
+    if (AfterAnswer + WhileIdle > 0)
+      observe::log(LogLevel::Warning, "unsolicited_bytes",
+                   {{"after_answer", AfterAnswer}, {"while_idle", WhileIdle}});
+    if (PassedOver > 0)
+      observe::log(LogLevel::Info, "connections_passed_over",
+                   {{"id_carried", PassedOver}});
   }
 
   void offerView(ViewPtr Candidate) {
--- a/libs/net/include/camphorwind/net/origin-client.h
+++ b/libs/net/include/camphorwind/net/origin-client.h
@@ -122,8 +122,8 @@
   std::uint64_t ForeignAnswers_ = 0;
   /// Connections closed because bytes followed a complete answer.
   std::uint64_t ExtraBytes_ = 0;
-  /// Idle connections closed because bytes arrived on them, as those of an
-  /// answer too many that is late.
+  /// Connections closed because bytes arrived while they were idle, such as
+  /// those of a late copy of an answer.
   std::uint64_t IdleBytes_ = 0;
 };
 
--- a/libs/net/src/origin-client.cpp
+++ b/libs/net/src/origin-client.cpp
@@ -443,6 +443,7 @@
          ++Read) {
       ssize_t Got = ::recv(Self->Socket_.fd(), Buffer, sizeof(Buffer), 0);
       if (Got > 0 && Self->HeadSent_ == 0) {
+        ++Counters_.IdleBytes_;
         restart(Self, OriginErrorKind::Malformed, "bytes before a request");
         return;
       }
