--- a/daemons/agent/test/endpoint-caller-test.cpp
+++ b/daemons/agent/test/endpoint-caller-test.cpp
@@ -9,6 +9,7 @@
 #include <ostream>
 #include <string>
 #include <string_view>
+#include <utility>
 
 /// Tests the calls of an agent to an endpoint that answers byte for byte as
 /// scripted.
@@ -17,29 +18,11 @@
 
 using namespace std::chrono_literals;
 
-struct StreamEndCase {
-  std::string_view Name_;
-  std::string_view Body_;
-  request::EndpointEnd End_ = request::EndpointEnd::Complete;
-  std::string_view ContentType_ = "text/event-stream";
-};
-
-std::ostream &operator<<(std::ostream &Out, const StreamEndCase &Value) {
-  return Out << Value.Name_;
-}
-
-class AgentStreamEndTest : public testing::TestWithParam<StreamEndCase> {};
-
-/// Guards against truncated streams that reach callers as complete because the
-/// engine's connection was closed without an error.
-TEST_P(AgentStreamEndTest, StreamIsCompleteOnlyIfItsLastEventIs) {
+/// Calls an engine that answers with \p Answer; returns how the call ended.
+std::optional<request::EndpointEnd> callOnce(net::test::Reply Answer) {
   auto Loop = std::move(net::Loop::create().value());
   auto Client = std::move(net::HttpClient::create(*Loop).value());
-  net::test::ScriptedPeer Peer(*Loop,
-                               {{"HTTP/1.1 200 OK\r\nContent-Type: " +
-                                     std::string(GetParam().ContentType_) +
-                                     "\r\n\r\n" + std::string(GetParam().Body_),
-                                 net::test::Then::Close}});
+  net::test::ScriptedPeer Peer(*Loop, {std::move(Answer)});
   AgentSettings Settings;
   Settings.Target_ = Peer.address();
   Settings.ConnectTimeout_ = 1s;
@@ -63,7 +46,30 @@
   GiveUp.start(5s);
   Caller.run(Run);
   Loop->run();
-  EXPECT_EQ(End, GetParam().End_);
+  return End;
+}
+
+struct StreamEndCase {
+  std::string_view Name_;
+  std::string_view Body_;
+  request::EndpointEnd End_ = request::EndpointEnd::Complete;
+  std::string_view ContentType_ = "text/event-stream";
+};
+
+std::ostream &operator<<(std::ostream &Out, const StreamEndCase &Value) {
+  return Out << Value.Name_;
+}
+
+class AgentStreamEndTest : public testing::TestWithParam<StreamEndCase> {};
+
+/// Guards against truncated streams that reach callers as complete because the
+/// engine's connection was closed without an error.
+TEST_P(AgentStreamEndTest, StreamIsCompleteOnlyIfItsLastEventIs) {
+  EXPECT_EQ(callOnce({"HTTP/1.1 200 OK\r\nContent-Type: " +
+                          std::string(GetParam().ContentType_) + "\r\n\r\n" +
+                          std::string(GetParam().Body_),
+                      net::test::Then::Close}),
+            GetParam().End_);
 }
 
 constexpr auto Complete = request::EndpointEnd::Complete;
@@ -99,32 +105,9 @@
 /// Guards against callers that are told "not run" of a call that may have run,
 /// by the status of an engine's answer.
 TEST_P(EngineErrorTest, StatusOfRefusalsIsNotTheCallersAnswer) {
-  auto Loop = std::move(net::Loop::create().value());
-  auto Client = std::move(net::HttpClient::create(*Loop).value());
   std::string Answer = "HTTP/1.1 ";
   Answer.append(GetParam().StatusLine_).append("\r\nContent-Length: 0\r\n\r\n");
-  net::test::ScriptedPeer Peer(*Loop, {{Answer}});
-  AgentSettings Settings;
-  Settings.Target_ = Peer.address();
-  Settings.ConnectTimeout_ = 1s;
-  Settings.StallTimeout_ = 1s;
-  std::optional<request::EndpointEnd> End;
-  EndpointEvents Events;
-  Events.OnHead_ = [](const auto &, const auto &) {};
-  Events.OnUsage_ = [](const auto &, const auto &) {};
-  Events.OnEnd_ = [&](const base::AttemptId &, request::EndpointEnd Ended) {
-    End = Ended;
-    Loop->stop();
-  };
-  EndpointCaller Caller(*Client, Settings, std::move(Events));
-  request::RunAtEndpoint Run;
-  Run.Attempt_ = base::AttemptId("a1");
-  Run.Call_.Path_ = "/v1/chat/completions";
-  net::Timer GiveUp(*Loop, [&] { Loop->stop(); });
-  GiveUp.start(5s);
-  Caller.run(Run);
-  Loop->run();
-  EXPECT_EQ(End, GetParam().End_);
+  EXPECT_EQ(callOnce({Answer}), GetParam().End_);
 }
 
 INSTANTIATE_TEST_SUITE_P(
