Decode a slice of the budget table once for each version

Decoded slices are kept by key and version until the row is gone or the table is restored, which gives versions out again.

--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -2,6 +2,7 @@
 
 #include "escrow-rows.h"
 #include "roster.h"
+#include "slice-cache.h"
 
 #include <algorithm>
 #include <cmath>
@@ -464,6 +465,7 @@
   /// router knows, so none of them counts.
   void beginEra(std::uint64_t Era, base::TimePoint Now) {
     Era_ = Era;
+    OtherRows_.clear();
     OutcomeUnknown_ = false;
     LastTransaction_.reset();
     PendingAccounts_.clear();
@@ -1196,6 +1198,7 @@
           adoptRow(Each, Now);
       }
     }
+    OtherRows_.sweep();
     countRouters(Presences, Now);
     if (!RowsInEra_)
       beginFirstRead(HasOlderRows, Now);
@@ -1237,11 +1240,11 @@
     auto Name = detail::sliceNameFromKey(Found.Key_);
     if (!Name || Name->Router_ == Settings_.Router_)
       return false;
-    if (auto Row = detail::decodeSlice(Found.Value_)) {
+    if (const auto &Row = OtherRows_.decode(Found)) {
       AccountState &State = Accounts_[Name->Account_];
       State.GrantedToOthers_ += Row->Granted_;
       addOtherSlice(State, *Row, tableTime(Now));
-      State.OtherSlices_.emplace_back(Name->Router_.str(), std::move(*Row));
+      State.OtherSlices_.emplace_back(Name->Router_.str(), *Row);
     }
     return true;
   }
@@ -1399,6 +1402,9 @@
   /// last read.
   std::set<std::string> LiveRouters_;
 
+  /// Slices of other routers in the table's era.
+  detail::SliceCache OtherRows_;
+
   bool Loaded_ = false;
   bool RowsSeen_ = false;
   bool Closing_ = false;
