Take no answer for whole whose peer had not received the request

A caller can get a part of an answer as the whole one: an endpoint answers a long upload at once, without a length, sends a part of the body and closes; the reset follows when the rest of the upload arrives there. A reset alone was noticed before; the regular end that comes ahead of it ended the answer.

An answer without length that ends before all of the request was sent and acknowledged is an error now, as a reset is.

Measured: 2 of 4 cases of OriginClientEarlyEndTest failed before (shutdown, and shutdown of a request in flight; reset and close passed), 0 now.

--- a/libs/net/include/camphorwind/net/socket.h
+++ b/libs/net/include/camphorwind/net/socket.h
@@ -5,6 +5,7 @@
 #include "camphorwind/base/result.h"
 
 #include <chrono>
+#include <cstddef>
 
 /// TCP sockets by IP number; no name resolution.
 namespace camphorwind::net {
@@ -51,6 +52,10 @@
 /// connection; 0 if it does not tell.
 std::chrono::milliseconds timeSinceLastData(int Fd);
 
+/// Returns the number of bytes sent on a TCP connection that its peer has not
+/// acknowledged; 0 if the system does not tell.
+std::size_t unacknowledgedBytes(int Fd);
+
 } // namespace camphorwind::net
 
 #endif // CAMPHORWIND_NET_SOCKET_H
--- a/libs/net/src/origin-client.cpp
+++ b/libs/net/src/origin-client.cpp
@@ -475,6 +475,11 @@
     end(Self, OriginError{OriginErrorKind::Reset, true, std::strerror(Error)});
   }
 
+  /// Whether the peer has received all of the request.
+  static bool hasArrivedWhole(const OriginConnection &Self) {
+    return Self.sentWhole() && unacknowledgedBytes(Self.Socket_.fd()) == 0;
+  }
+
   void onPeerClosed(const ConnectionPtr &Self) {
     if (Self->HeadSent_ == 0) {
       restart(Self, OriginErrorKind::Closed, "closed by the peer");
@@ -485,8 +490,15 @@
           OriginError{OriginErrorKind::Reset, true, "reset inside the answer"});
       return;
     }
-    if (!Self->Skipping_ &&
-        Self->Parser_->putEnd() == detail::ParseState::Complete) {
+    bool AnswerEnds = !Self->Skipping_ &&
+                      Self->Parser_->putEnd() == detail::ParseState::Complete;
+    // The rest of the request meets a reset, which also ends answers early.
+    if (AnswerEnds && !hasArrivedWhole(*Self)) {
+      end(Self, OriginError{OriginErrorKind::Closed, true,
+                            "closed before the request was received"});
+      return;
+    }
+    if (AnswerEnds) {
       succeed(Self);
       return;
     }
--- a/libs/net/src/socket.cpp
+++ b/libs/net/src/socket.cpp
@@ -3,10 +3,12 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string>
 #include <string_view>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -163,4 +165,11 @@
   return std::chrono::milliseconds(Info.tcpi_last_data_recv);
 }
 
+std::size_t unacknowledgedBytes(int Fd) {
+  int Bytes = 0;
+  if (::ioctl(Fd, SIOCOUTQ, &Bytes) != 0 || Bytes < 0)
+    return 0;
+  return static_cast<std::size_t>(Bytes);
+}
+
 } // namespace camphorwind::net
--- a/libs/net/test/origin-client-test.cpp
+++ b/libs/net/test/origin-client-test.cpp
@@ -388,6 +388,46 @@
   EXPECT_TRUE(Found.Error_->MayHaveReached_);
 }
 
+/// How a peer ends an answer without length while it is still being sent the
+/// request.
+struct EarlyEndCase {
+  std::string_view Name_;
+  Then Then_ = Then::Close;
+  std::size_t BodyBytes_ = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const EarlyEndCase &Value) {
+  return Out << Value.Name_;
+}
+
+class OriginClientEarlyEndTest
+    : public OriginClientTest,
+      public testing::WithParamInterface<EarlyEndCase> {};
+
+/// Guards against a part of an answer that counts as whole because its peer
+/// ended the connection before it had read the request.
+TEST_P(OriginClientEarlyEndTest, AnswerWithoutLengthIsNotWhole) {
+  listen({{"HTTP/1.1 200 OK\r\n\r\nfour", GetParam().Then_, true}});
+  Outcome Found = run(request(std::string(GetParam().BodyBytes_, 'x')));
+  EXPECT_FALSE(Found.Whole_);
+  ASSERT_TRUE(Found.Error_);
+  EXPECT_TRUE(Found.Error_->MayHaveReached_);
+}
+
+/// More than the buffers of the peer's socket take, and more than those of both
+/// sockets.
+constexpr std::size_t MoreThanThePeerTakes = 1024UL * 1024;
+constexpr std::size_t MoreThanBothTake = 16UL * 1024 * 1024;
+
+INSTANTIATE_TEST_SUITE_P(
+    Ends, OriginClientEarlyEndTest,
+    testing::Values(EarlyEndCase{"reset", Then::Reset, MoreThanBothTake},
+                    EarlyEndCase{"close", Then::Close, MoreThanBothTake},
+                    EarlyEndCase{"shutdown", Then::Shutdown, MoreThanBothTake},
+                    EarlyEndCase{"shutdown_of_a_request_in_flight",
+                                 Then::Shutdown, MoreThanThePeerTakes}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 struct EndlessCase {
   std::string_view Name_;
   std::string_view Start_;
--- a/libs/net/test/scripted-peer.h
+++ b/libs/net/test/scripted-peer.h
@@ -17,8 +17,9 @@
 namespace camphorwind::net::test {
 
 /// How the scripted peer goes on after it has sent its bytes. Crash closes all
-/// connections and listens no longer.
-enum class Then { Keep, Close, Reset, Crash };
+/// connections and listens no longer. Shutdown ends what it sends, and leaves
+/// unread what it is sent.
+enum class Then { Keep, Close, Reset, Crash, Shutdown };
 
 struct Reply {
   std::string Bytes_;
@@ -176,6 +177,10 @@
     if (How == Then::Keep)
       return;
     Of.Watcher_->stop();
+    if (How == Then::Shutdown) {
+      ::shutdown(Of.Socket_.fd(), SHUT_WR);
+      return;
+    }
     if (How == Then::Reset) {
       linger Now{1, 0};
       ::setsockopt(Of.Socket_.fd(), SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
