Take no answer whose status is none of HTTP, nor one before its call was sent

A caller waits until its deadline for the answer of an endpoint in trouble that answered with status 000: OriginClient took it for an interim answer and waited for the one to follow. An agent's endpoint that answers with 600 was passed on.

Statuses outside of 100 to 599 make an answer unreadable, in both clients.

HttpClient is not checked for parts of a call that were sent and not acknowledged.

--- a/libs/net/include/camphorwind/net/http.h
+++ b/libs/net/include/camphorwind/net/http.h
@@ -71,6 +71,13 @@
   std::shared_ptr<void> Charge_ = nullptr;
 };
 
+/// Whether an answer may have the status (RFC 9110, section 15).
+constexpr bool isHttpStatus(long Status) {
+  constexpr long Lowest = 100;
+  constexpr long Highest = 599;
+  return Status >= Lowest && Status <= Highest;
+}
+
 /// Returns an answer that carries JSON text.
 HttpAnswer jsonAnswer(unsigned Status, std::string Body);
 
--- a/libs/net/src/http-client.cpp
+++ b/libs/net/src/http-client.cpp
@@ -37,6 +37,8 @@
   /// The empty line after the last head has arrived.
   bool HeadWhole_ = false;
   bool BodySeen_ = false;
+  /// The status of the answer is none of HTTP.
+  bool StatusInvalid_ = false;
   /// Ended or cancelled; callbacks of libcurl are ignored.
   bool Detached_ = false;
   Timer StallTimer_;
@@ -46,6 +48,8 @@
 namespace {
 
 HttpCallErrorKind kindOf(CURLcode Code, const Transfer &Self) {
+  if (Self.StatusInvalid_)
+    return HttpCallErrorKind::Malformed;
   curl_off_t ConnectTime = 0;
   curl_easy_getinfo(Self.Easy_, CURLINFO_PRETRANSFER_TIME_T, &ConnectTime);
   switch (Code) {
@@ -105,7 +109,9 @@
     Self.HeadWhole_ = false;
   else if (Line == "\r\n" || Line == "\n")
     Self.HeadWhole_ = true;
-  return Line.size();
+  Self.StatusInvalid_ = !isHttpStatus(statusOf(Self.Easy_));
+  // Fewer bytes than were given end the call.
+  return Self.StatusInvalid_ ? 0 : Line.size();
 }
 
 bool isChunked(CURL *Easy) {
@@ -116,8 +122,9 @@
 }
 
 /// Whether a peer that has closed its connection had said that there is no
-/// body, or had sent some of it. libcurl takes any close for the end of an
-/// answer without a length, even inside its head.
+/// body, or had sent some of it, and had been sent the whole request. libcurl
+/// takes any close for the end of an answer without a length, even inside its
+/// head.
 bool isWhole(const Transfer &Self) {
   if (!Self.HeadWhole_)
     return false;
@@ -125,12 +132,18 @@
   constexpr unsigned NoContent = 204;
   constexpr unsigned FirstError = 300;
   unsigned Status = statusOf(Self.Easy_);
-  if (Self.BodySeen_ || Self.Call_.Method_ == "HEAD" || Status < FirstSuccess ||
-      Status == NoContent || Status >= FirstError)
+  if (Self.Call_.Method_ == "HEAD" || Status < FirstSuccess ||
+      Status == NoContent)
     return true;
   curl_off_t Length = -1;
   curl_easy_getinfo(Self.Easy_, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &Length);
-  return Length >= 0 || isChunked(Self.Easy_);
+  if (Length >= 0 || isChunked(Self.Easy_))
+    return true;
+  curl_off_t BodySent = 0;
+  curl_easy_getinfo(Self.Easy_, CURLINFO_SIZE_UPLOAD_T, &BodySent);
+  bool SentWhole =
+      static_cast<std::size_t>(BodySent) >= Self.Call_.Body_.size();
+  return SentWhole && (Self.BodySeen_ || Status >= FirstError);
 }
 
 std::size_t takeBody(char *Into, std::size_t Size, std::size_t Count,
--- a/libs/net/src/response-parser.cpp
+++ b/libs/net/src/response-parser.cpp
@@ -1,5 +1,7 @@
 #include "response-parser.h"
 
+#include "camphorwind/net/http.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -25,7 +27,11 @@
   void on_request_impl(http::verb, TextView, TextView, int,
                        ErrorCode &) override {}
   void on_response_impl(int Status, TextView Reason, int,
-                        ErrorCode &) override {
+                        ErrorCode &Error) override {
+    if (!isHttpStatus(Status)) {
+      Error = http::error::bad_status;
+      return;
+    }
     Head_.Status_ = static_cast<unsigned>(Status);
     Head_.Reason_ = view(Reason);
   }
--- a/libs/net/test/http-client-test.cpp
+++ b/libs/net/test/http-client-test.cpp
@@ -135,11 +135,28 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Answers, UnreadableAnswerTest,
-    testing::Values(UnreadableAnswerCase{"no_status_line", "garbage\r\n\r\n"},
-                    UnreadableAnswerCase{"unknown_version",
-                                         "HTTP/7.0 200 OK\r\n\r\n"}),
+    testing::Values(
+        UnreadableAnswerCase{"no_status_line", "garbage\r\n\r\n"},
+        UnreadableAnswerCase{"unknown_version", "HTTP/7.0 200 OK\r\n\r\n"},
+        UnreadableAnswerCase{"status_000", "HTTP/1.1 000 Trouble\r\n"
+                                           "Content-Length: 4\r\n\r\nfour"},
+        UnreadableAnswerCase{"status_600", "HTTP/1.1 600 Trouble\r\n"
+                                           "Content-Length: 4\r\n\r\nfour"}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against a part of an answer that counts as whole because its peer
+/// ended the connection before it had read the call.
+TEST_F(HttpClientTest, AnswerThatEndsBeforeTheCallWasSentIsLost) {
+  test::ScriptedPeer Peer(
+      *Owner_, {{"HTTP/1.1 200 OK\r\n\r\nfour", test::Then::Shutdown, true}});
+  constexpr std::size_t MoreThanSocketsHold = 16UL * 1024 * 1024;
+  HttpCall Call;
+  Call.Method_ = "POST";
+  Call.Url_ = "http://" + toString(Peer.address()) + "/";
+  Call.Body_ = std::string(MoreThanSocketsHold, 'x');
+  EXPECT_EQ(errorOf(std::move(Call)), HttpCallErrorKind::Lost);
+}
+
 TEST_F(HttpClientTest, SilentPeerIsStalled) {
   HttpCall Call = call();
   Call.StallTimeout_ = std::chrono::milliseconds(20);
