--- a/libs/budget/test/slice-cache-test.cpp
+++ b/libs/budget/test/slice-cache-test.cpp
@@ -28,8 +28,8 @@
 
 class SliceCacheTest : public testing::TestWithParam<NextRow> {};
 
-// Guards against decoding the rows of all routers and accounts at each read of
-// the table, and against taking a changed row for the one before it.
+/// Guards against decoding the rows of all routers and accounts at each read of
+/// the table, and against taking a changed row for the one before it.
 TEST_P(SliceCacheTest, DecodesOnlyRowsThatHaveChanged) {
   SliceCache Cache;
   ASSERT_TRUE(Cache.decode({"slice/a/r1", 3, sliceOf(100)}));
@@ -50,7 +50,7 @@
                     NextRow{"unreadable", {"slice/a/r1", 4, "{}"}, 1, {}}),
     [](const auto &Info) { return Info.param.Name_; });
 
-// Versions are given out again after a restore of the table.
+/// Versions are given out again after a restore of the table.
 TEST(SliceCache, DecodesTheSameVersionAgainAfterClear) {
   SliceCache Cache;
   ASSERT_TRUE(Cache.decode({"slice/a/r1", 3, sliceOf(100)}));
