Count draws and returns that conflict, and log the demand of refused accounts

Cause: budget_conflict did not say whether a router's draws get through at last, nor reservation_refused whether the router asked for its share, so that a log could not tell a router whose draws starve from one that wants little.

Change: budget_conflict has grants_in_a_row and after_ms, reservation_refused has demand and demand_of_all; counter budget_grants by result.

--- a/daemons/direct/escrow-driver.h
+++ b/daemons/direct/escrow-driver.h
@@ -8,6 +8,7 @@
 #include "camphorwind/observe/log.h"
 
 #include <chrono>
+#include <cstdint>
 #include <utility>
 
 namespace camphorwind::direct {
@@ -43,8 +44,8 @@
     }
     if (auto Change = Router_.escrow().nextTransaction(Now))
       Table_.transact(std::move(*Change),
-                      [this](const base::TransactionResult &Result) {
-                        onTransaction(Result);
+                      [this, Now](const base::TransactionResult &Result) {
+                        onTransaction(Result, Now);
                       });
   }
 
@@ -69,18 +70,38 @@
     step();
   }
 
-  void onTransaction(const base::TransactionResult &Result) {
+  void onTransaction(const base::TransactionResult &Result,
+                     base::TimePoint SentAt) {
     bool Ok = Result.Status_ == base::TransactionStatus::Committed ||
               Result.Status_ == base::TransactionStatus::Conflict;
     setReachable(Ok);
-    if (Result.Status_ == base::TransactionStatus::Conflict)
-      observe::log(observe::LogLevel::Info, "budget_conflict",
-                   {{"rows", Result.Current_.size()}});
     Router_.escrow().onTransaction(Result, Loop_.now());
+    publishGrants();
+    if (Result.Status_ == base::TransactionStatus::Conflict)
+      observe::log(
+          observe::LogLevel::Info, "budget_conflict",
+          {{"rows", Result.Current_.size()},
+           {"grants_in_a_row", PublishedGrants_.ConflictsInARow_},
+           {"after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                            Loop_.now() - SentAt)
+                            .count()}});
     logRecovery();
     Router_.escrowChanged();
   }
 
+  void publishGrants() {
+    const budget::EscrowGrantCounters &Now = Router_.escrow().grantCounters();
+    auto Publish = [&](const char *Result,
+                       std::uint64_t budget::EscrowGrantCounters::*Of) {
+      if (std::uint64_t Added = Now.*Of - PublishedGrants_.*Of; Added > 0)
+        Router_.metrics().count("budget_grants", "result", Result,
+                                static_cast<double>(Added));
+    };
+    Publish("committed", &budget::EscrowGrantCounters::Committed_);
+    Publish("conflict", &budget::EscrowGrantCounters::Conflicted_);
+    PublishedGrants_ = Now;
+  }
+
   void logRecovery() {
     std::uint64_t Era = Router_.escrow().era();
     if (Era != LoggedEra_)
@@ -109,6 +130,8 @@
   bool ReadInProgress_ = false;
   bool Reachable_ = true;
   base::TimePoint NextReadAt_{};
+  /// Counters that are in the metrics.
+  budget::EscrowGrantCounters PublishedGrants_;
   std::uint64_t LoggedEra_ = 0;
   budget::EscrowRecovery LoggedRecovery_ = budget::EscrowRecovery::None;
 };
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -389,7 +389,9 @@
                 {"granted", Status.Granted_.count()},
                 {"used", Status.Used_.count()},
                 {"held", Status.Reserved_.count()},
-                {"available", Status.Available_.count()}});
+                {"available", Status.Available_.count()},
+                {"demand", Status.Demand_.count()},
+                {"demand_of_all", Status.DemandOfAll_.count()}});
 }
 
 void ForwardedRequest::retryReservation() {
--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -95,6 +95,19 @@
   base::Tokens Reserved_;
   /// Largest bound that reserve() would accept now.
   base::Tokens Available_;
+  /// Demand per second at this router, which its target follows.
+  base::Tokens Demand_;
+  /// Demand per second at all routers, as far as this one has read it.
+  base::Tokens DemandOfAll_;
+};
+
+/// Counts of the transactions that draw or return tokens.
+struct EscrowGrantCounters {
+  std::uint64_t Committed_ = 0;
+  /// Had no effect, since another router changed a row first.
+  std::uint64_t Conflicted_ = 0;
+  /// Conflicts since the last that was committed.
+  std::uint64_t ConflictsInARow_ = 0;
 };
 
 /// A router that may lend tokens of an account.
@@ -257,6 +270,7 @@
   std::chrono::milliseconds tableTime(base::TimePoint Now) const;
   EscrowStatus status(const base::AccountId &Account,
                       base::TimePoint Now) const;
+  const EscrowGrantCounters &grantCounters() const;
 
 private:
   struct Impl;
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -1010,6 +1010,15 @@
                        });
   }
 
+  /// Counts the transaction in progress if it draws or returns tokens.
+  void countGrant(bool Committed) {
+    if (!changesTotals())
+      return;
+    ++(Committed ? GrantCounters_.Committed_ : GrantCounters_.Conflicted_);
+    GrantCounters_.ConflictsInARow_ =
+        Committed ? 0 : GrantCounters_.ConflictsInARow_ + 1;
+  }
+
   void addAccount(const base::AccountId &Account, AccountState &State,
                   base::Transaction &Change, std::int64_t Grant,
                   base::TimePoint Now) {
@@ -1353,6 +1362,7 @@
   /// with each conflict: one changed total undoes the whole transaction, and
   /// with many routers that each change many totals, none gets through.
   std::size_t GrantAccounts_ = MaxAccountsPerTransaction;
+  EscrowGrantCounters GrantCounters_;
   base::TimePoint RunningSince_{};
   /// When a transaction may hold routine draws and returns again.
   base::TimePoint NextRoutineGrantAt_{};
@@ -1603,6 +1613,7 @@
   switch (Result.Status_) {
   case TransactionStatus::Committed:
     Impl_->OutcomeUnknown_ = false;
+    Impl_->countGrant(true);
     Impl_->applyCommitted(Result.Version_, Now);
     return;
   case TransactionStatus::Conflict: {
@@ -1611,6 +1622,7 @@
     if (Impl_->changesTotals())
       Impl_->GrantAccounts_ =
           std::max<std::size_t>(1, Impl_->GrantAccounts_ / 2);
+    Impl_->countGrant(false);
     Impl_->rollBack();
     Impl_->OutcomeUnknown_ = false;
     for (const base::Row &Each : Result.Current_) {
@@ -1729,7 +1741,14 @@
           base::Tokens(State.Granted_),
           base::Tokens(State.Inherited_ + State.Spent_),
           base::Tokens(State.Reserved_),
-          base::Tokens(Impl_->available(State, Now))};
+          base::Tokens(Impl_->available(State, Now)),
+          base::Tokens(Impl::publishedDemand(State, Now)),
+          base::Tokens(Impl::publishedDemand(State, Now) +
+                       static_cast<std::int64_t>(State.DemandOfOthers_))};
+}
+
+const EscrowGrantCounters &Escrow::grantCounters() const {
+  return Impl_->GrantCounters_;
 }
 
 } // namespace camphorwind::budget
