Count refused requests as demand of the router that refuses them

Cause: a router's part of a budget follows its demand, and demand counted what could be reserved. A router with few tokens published little demand, so that it kept getting few.

Change: a request that ends without tokens which the table or another router may have had counts as demand once.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -313,6 +313,8 @@
       Context_.Loop_.post(Context_.OnTokensNeeded_);
     return false;
   }
+  if (MayBorrow)
+    Context_.Escrow_.addRefused(Account_->Account_, MaxTokens, Now);
   logReservationRefusal(Reservation.error(), MaxTokens, Now);
   if (Reservation.error() == budget::EscrowRefusal::Spent)
     refuse(RefusalReason::BudgetSpent);
--- a/libs/budget/include/camphorwind/budget/escrow.h
+++ b/libs/budget/include/camphorwind/budget/escrow.h
@@ -183,6 +183,11 @@
   base::Result<void, EscrowRefusal> reserve(const base::AccountId &Account,
                                             base::Tokens Bound, bool Urgent,
                                             base::TimePoint Now);
+  /// Counts a request that was refused for lack of tokens as demand of this
+  /// router, so that its slice grows. Call it once for each request that other
+  /// routers or the table may have had tokens for.
+  void addRefused(const base::AccountId &Account, base::Tokens Bound,
+                  base::TimePoint Now);
   /// Ends a reservation of \p Bound tokens, of which \p Spent were spent.
   void settle(const base::AccountId &Account, base::Tokens Bound,
               base::Tokens Spent, base::TimePoint Now);
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -1487,6 +1487,11 @@
   return base::failure(EscrowRefusal::NotYetDrawn);
 }
 
+void Escrow::addRefused(const base::AccountId &Account, base::Tokens Bound,
+                        base::TimePoint Now) {
+  Impl::addRequest(Impl_->Accounts_[Account], Bound.count(), Now);
+}
+
 void Escrow::settle(const base::AccountId &Account, base::Tokens Bound,
                     base::Tokens Spent, base::TimePoint Now) {
   AccountState &State = Impl_->Accounts_[Account];
