Let a draw through that a router needs for refused requests

Cause: a draw is conditional on the version of the total, which all routers change. A slow host knows an older version and writes later, so that some other router has changed the total by then, mostly for a routine draw or return. Class: a slow writer starves under optimistic concurrency.

Change: a slice row says what its router lacks for refused requests. It is written with checkpoints, which conflict with nobody. Other routers put off routine changes of that total for up to 3 s; returns go on while the table lacks what is wanted.

--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -78,7 +78,8 @@
               {"demand", Value.TokensPerSecond_},
               {"reserved", Value.Reserved_},
               {"stranded", Value.Stranded_},
-              {"bound", Value.TypicalBound_}}
+              {"bound", Value.TypicalBound_},
+              {"wanted", Value.Wanted_}}
       .dump();
 }
 
@@ -106,15 +107,19 @@
     return std::clamp<std::int64_t>(integerField(*Parsed, Name).value_or(0), 0,
                                     *Used);
   };
-  return SliceRow{
-      Incarnation->get<std::string>(),
-      *Granted,
-      {*Used, *Burst, *Rate, *Spread, std::chrono::milliseconds(*Delay),
-       std::chrono::milliseconds(*At)},
-      integerField(*Parsed, "demand").value_or(0),
-      PartOfUsed("reserved"),
-      PartOfUsed("stranded"),
-      std::max<std::int64_t>(0, integerField(*Parsed, "bound").value_or(0))};
+  auto NotNegative = [&](const char *Name) {
+    return std::max<std::int64_t>(0, integerField(*Parsed, Name).value_or(0));
+  };
+  return SliceRow{Incarnation->get<std::string>(),
+                  *Granted,
+                  {*Used, *Burst, *Rate, *Spread,
+                   std::chrono::milliseconds(*Delay),
+                   std::chrono::milliseconds(*At)},
+                  integerField(*Parsed, "demand").value_or(0),
+                  PartOfUsed("reserved"),
+                  PartOfUsed("stranded"),
+                  NotNegative("bound"),
+                  NotNegative("wanted")};
 }
 
 std::string encodeTotal(std::int64_t Granted) {
--- a/libs/budget/src/escrow-rows.h
+++ b/libs/budget/src/escrow-rows.h
@@ -59,6 +59,9 @@
   std::int64_t Stranded_ = 0;
   /// Bound of a typical request of the router's callers; 0 if it had none.
   std::int64_t TypicalBound_ = 0;
+  /// Tokens that the router's callers lack and that it has yet to draw; 0 if it
+  /// lacks none.
+  std::int64_t Wanted_ = 0;
 
   /// Granted tokens above the ceiling at \p TableTime, which are certainly
   /// unspent.
--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -50,6 +50,10 @@
 /// divided by the number of routers: at the end of a budget, each router may
 /// still hold that much.
 constexpr double MinGrantChangeShare = 0.005;
+/// Time for which a refused request keeps a draw wanted, and for which other
+/// routers know of it from the checkpoint that says so. Covers a few turns of a
+/// slow host.
+constexpr milliseconds WantedTime{3000};
 /// Minimum time between two routine draws or returns of one account.
 constexpr milliseconds GrantInterval{1000};
 /// Baseline demand credited to all routers together: the budget divided by this
@@ -217,6 +221,13 @@
   /// Largest bound that a loan was refused for although the slice covers it.
   /// Reset together with `RefusedBound_`.
   std::int64_t RefusedLoan_ = 0;
+  /// Largest bound that the slice did not cover since the last draw, and when
+  /// it was last refused.
+  std::int64_t WantedBound_ = 0;
+  base::TimePoint WantedAt_{};
+  /// Tokens that other routers have yet to draw for refused requests, from the
+  /// last read.
+  std::int64_t WantedByOthers_ = 0;
   /// Tokens of the urgent reserve that this router may draw now.
   double UrgentAllowance_ = UrgentBurstTokens;
   base::TimePoint UrgentAllowanceAt_{};
@@ -924,6 +935,35 @@
                : Share;
   }
 
+  static void addWanted(AccountState &State, std::int64_t Bound,
+                        base::TimePoint Now) {
+    if (State.Granted_ - State.used() >= Bound)
+      return;
+    bool IsOld = Now - State.WantedAt_ >= WantedTime;
+    State.WantedBound_ = IsOld ? Bound : std::max(State.WantedBound_, Bound);
+    State.WantedAt_ = Now;
+  }
+
+  /// Tokens that this router has yet to draw for refused requests.
+  static std::int64_t wanted(const AccountState &State, base::TimePoint Now) {
+    if (State.WantedBound_ == 0 || Now - State.WantedAt_ >= WantedTime)
+      return 0;
+    return std::max<std::int64_t>(0, State.WantedBound_ -
+                                         (State.Granted_ - State.used()));
+  }
+
+  /// Whether a routine draw or return should wait, since another router lacks
+  /// tokens: each change of the total makes that router's draw conflict, and a
+  /// slow host would never get through. Returns go on while the table lacks
+  /// what is wanted.
+  bool yieldsGrant(const AccountState &State, base::TimePoint Now) const {
+    if (State.WantedByOthers_ == 0 || State.RefusedBound_ > 0 || Closing_ ||
+        undrawn(State) < 0)
+      return false;
+    return grantDelta(State, Now) > 0 ||
+           undrawn(State) - urgentReserve(State) >= State.WantedByOthers_;
+  }
+
   /// Builds draws and returns, or checkpoints, in turns. Draws and returns
   /// change total rows, which routers share, so they may conflict repeatedly;
   /// taking turns keeps them from delaying checkpoints.
@@ -977,7 +1017,8 @@
     bool RoutineDue = !isLargeFleet() || Closing_ || Now >= NextRoutineGrantAt_;
     for (auto Each = Accounts_.begin(); Each != Accounts_.end(); ++Each) {
       AccountState &State = Each->second;
-      if (!(RoutineDue || State.RefusedBound_ > 0) || !needsGrant(State, Now))
+      if (!(RoutineDue || State.RefusedBound_ > 0) || !needsGrant(State, Now) ||
+          yieldsGrant(State, Now))
         continue;
       double Size = std::max(1.0, static_cast<double>(State.Prepaid_));
       All.push_back(
@@ -1034,7 +1075,8 @@
          detail::encodeSlice(
              {Settings_.Incarnation_.str(), Granted, *State.PendingCheckpoint_,
               publishedDemand(State, Now), State.Reserved_, State.Stranded_,
-              static_cast<std::int64_t>(ownTypicalBound(State))})});
+              static_cast<std::int64_t>(ownTypicalBound(State)),
+              wanted(State, Now)})});
     std::string Total = key(detail::totalKey(Account));
     // Routers that open the account must not miss a slice that is being written
     // again.
@@ -1062,8 +1104,10 @@
     for (const base::AccountId &Account : PendingAccounts_) {
       AccountState &State = Accounts_[Account];
       State.SliceVersion_ = Version;
-      if (State.PendingGrant_ > 0)
+      if (State.PendingGrant_ > 0) {
         State.Granted_ += State.PendingGrant_;
+        State.WantedBound_ = 0;
+      }
       if (State.PendingTotalChange_ != 0) {
         State.TotalVersion_ = Version;
         State.GrantedToAll_ += State.PendingTotalChange_;
@@ -1170,6 +1214,7 @@
       State.UsedByOthers_ = 0;
       State.DemandOfOthers_ = 0;
       State.TypicalBoundOfOthers_ = 0;
+      State.WantedByOthers_ = 0;
       State.RefusedBound_ = 0;
       State.RefusedLoan_ = 0;
       State.RefusedUrgentBound_ = 0;
@@ -1327,6 +1372,8 @@
     State.UsedByOthers_ += Row.Checkpoint_.Used_;
     State.TypicalBoundOfOthers_ = std::max(
         State.TypicalBoundOfOthers_, static_cast<double>(Row.TypicalBound_));
+    if (Time - Row.Checkpoint_.At_ < WantedTime)
+      State.WantedByOthers_ += Row.Wanted_;
     std::chrono::duration<double> Age = Time - Row.Checkpoint_.At_;
     State.DemandOfOthers_ +=
         static_cast<double>(Row.TokensPerSecond_) *
@@ -1470,6 +1517,7 @@
       (HasUrgentAllowance || Impl_->takeUrgentAllowance(State, Requested, Now)))
     State.RefusedUrgentBound_ = std::max(State.RefusedUrgentBound_, Requested);
   State.RefusedBound_ = std::max(State.RefusedBound_, Requested);
+  Impl::addWanted(State, Requested, Now);
   bool RowsFresh = Impl_->RowsSeen_ && Now - Impl_->RowsReadAt_ < MaxRowsAge;
   // What was spent is not known before all routers have written it again.
   if (RowsFresh && !Impl_->isOpen(State))
--- a/libs/budget/test/slow-host-test.cpp
+++ b/libs/budget/test/slow-host-test.cpp
@@ -104,5 +104,74 @@
   EXPECT_GT(Fleet.granted(0), 2 * Fleet.granted(1));
 }
 
+/// Why the second router would draw or return tokens.
+enum class RoutineChange { DrawsOfALargerBudget, ReturnsForDemandElsewhere };
+
+struct YieldCase {
+  std::string Name_;
+  RoutineChange Reason_ = RoutineChange::DrawsOfALargerBudget;
+  /// Tokens that the first router's callers lack.
+  std::int64_t Lacked_ = 0;
+  bool ChangesTotal_ = false;
+};
+
+std::ostream &operator<<(std::ostream &Out, const YieldCase &Value) {
+  return Out << Value.Name_;
+}
+
+class YieldTest : public testing::TestWithParam<YieldCase> {};
+
+// Guards against a slow host whose draws conflict for ever, because routers
+// that need nothing change the total between its read and its transaction.
+TEST_P(YieldTest, RoutineChangesLetADrawThrough) {
+  const YieldCase &Case = GetParam();
+  TwoRouters Fleet(1'000'000);
+  Fleet.run(2s);
+  Escrow &Needy = Fleet.Routers_[0];
+  Escrow &Other = Fleet.Routers_[1];
+  if (Case.Reason_ == RoutineChange::DrawsOfALargerBudget)
+    Fleet.setBudget(2'000'000);
+  else
+    for (int Request = 0; Request < 40; ++Request)
+      Needy.addRefused(Shop, Tokens(10'000), Fleet.Now_);
+  if (Case.Lacked_ > 0) {
+    ASSERT_FALSE(Needy.reserve(Shop, Tokens(Fleet.granted(0) + Case.Lacked_),
+                               false, Fleet.Now_));
+  }
+  // The draws conflict, but what the router writes for itself alone does not.
+  Fleet.advance(600ms);
+  for (int Transaction = 0; Transaction < 2; ++Transaction) {
+    Fleet.advance();
+    auto Change = Needy.nextTransaction(Fleet.Now_);
+    if (!Change)
+      continue;
+    base::TransactionResult Conflict;
+    Conflict.Status_ = base::TransactionStatus::Conflict;
+    Needy.onTransaction(TwoRouters::changesTotal(*Change)
+                            ? Conflict
+                            : Fleet.Table_.apply(*Change, Fleet.TableTime_),
+                        Fleet.Now_);
+  }
+  bool Changed = false;
+  for (milliseconds Time = 0ms; Time < 2s; Time += TwoRouters::Step) {
+    Fleet.advance();
+    Changed = Fleet.turn(Other) || Changed;
+  }
+  EXPECT_EQ(Changed, Case.ChangesTotal_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Reasons, YieldTest,
+    testing::Values(
+        YieldCase{"draw", RoutineChange::DrawsOfALargerBudget, 0, true},
+        YieldCase{"draw_while_another_lacks_tokens",
+                  RoutineChange::DrawsOfALargerBudget, 50'000, false},
+        YieldCase{"return", RoutineChange::ReturnsForDemandElsewhere, 0, true},
+        YieldCase{"return_while_the_table_has_what_another_lacks",
+                  RoutineChange::ReturnsForDemandElsewhere, 50'000, false},
+        YieldCase{"return_of_what_another_lacks",
+                  RoutineChange::ReturnsForDemandElsewhere, 400'000, true}),
+    [](const auto &Info) { return Info.param.Name_; });
+
 } // namespace
 } // namespace camphorwind::budget
