Let ceilings last until the next checkpoint of a slow host

Cause: the ceiling of a budget that ends within 20 s allows for half a second of demand at once, about the usual interval between checkpoints. Where a transaction takes 400 ms, the next ceiling comes after 1.3 s.

Change: where transactions take 150 ms or more, the burst covers the time from building a checkpoint until the next is committed, 1.5 s at most. A kill of such a router strands as much; ceilings of other routers are as before.

--- a/libs/budget/src/escrow.cpp
+++ b/libs/budget/src/escrow.cpp
@@ -115,9 +115,14 @@
 /// current demand: it will run out soon enough for stranded tokens to be
 /// missed.
 constexpr std::chrono::duration<double> LimitedTime{20.0};
-/// Time for which the burst of a limited account covers the expected demand:
-/// about the interval between two checkpoints.
+/// Minimum time for which the burst of a limited account covers the expected
+/// demand: about the usual interval between two checkpoints.
 constexpr std::chrono::duration<double> LimitedBurstTime{0.5};
+/// Maximum time for which a burst covers the expected demand. A kill strands
+/// what the burst allows.
+constexpr std::chrono::duration<double> MaxBurstTime{1.5};
+/// Weight of one transaction in the mean duration of transactions.
+constexpr double TransactionTimeWeight = 0.25;
 /// Replaces SpreadFactor in the burst of a limited account. It is lower because
 /// a request beyond the burst causes a checkpoint, for which it can wait.
 constexpr double LimitedSpreadFactor = 0.5;
@@ -840,17 +845,29 @@
                                 static_cast<double>(unspent(State)));
   }
 
+  /// Returns how long the ceiling of a checkpoint has to last if the table or
+  /// this host is slow: from the time at which it is built until the next one
+  /// has been committed. 0 if transactions take the usual time.
+  std::chrono::duration<double> slowCheckpointTime() const {
+    if (TransactionTime_ < LateTransactionAge)
+      return std::chrono::duration<double>::zero();
+    return std::min<std::chrono::duration<double>>(
+        checkpointInterval() + 2 * TransactionTime_, MaxBurstTime);
+  }
+
   /// The less is left of an account, the less may its ceilings strand.
   CeilingPolicy ceilingPolicy(const AccountState &State, double Demand,
                               base::TimePoint Now) const {
+    std::chrono::duration<double> SlowTime = slowCheckpointTime();
     if (lastsLessThan(ScarceTime, State, Now))
-      return {ScarceBurstShare * static_cast<double>(State.Prepaid_) *
-                  demandShare(State, Now),
+      return {std::max(ScarceBurstShare * static_cast<double>(State.Prepaid_) *
+                           demandShare(State, Now),
+                       ScarceCeilingFactor * Demand * SlowTime.count()),
               ScarceCeilingFactor, ScarceCeilingDelay};
     double MinBurst = minBurst(State);
     if (!lastsLessThan(LimitedTime, State, Now))
       return {MinBurst};
-    double Expected = Demand * LimitedBurstTime.count();
+    double Expected = Demand * std::max(LimitedBurstTime, SlowTime).count();
     double Deviation = std::sqrt(Expected * varianceRatio(State));
     return {MinBurst + CeilingFactor * Expected +
                 LimitedSpreadFactor * Deviation,
@@ -1099,6 +1116,8 @@
   }
 
   void applyCommitted(base::RowVersion Version, base::TimePoint Now) {
+    TransactionTime_ +=
+        TransactionTimeWeight * (Now - RunningSince_ - TransactionTime_);
     if (changesTotals())
       GrantAccounts_ = std::min(MaxAccountsPerTransaction, GrantAccounts_ + 1);
     for (const base::AccountId &Account : PendingAccounts_) {
@@ -1411,6 +1430,8 @@
   std::size_t GrantAccounts_ = MaxAccountsPerTransaction;
   EscrowGrantCounters GrantCounters_;
   base::TimePoint RunningSince_{};
+  /// Mean time from building a transaction to taking its result.
+  std::chrono::duration<double> TransactionTime_{0};
   /// When a transaction may hold routine draws and returns again.
   base::TimePoint NextRoutineGrantAt_{};
   base::TimePoint NextTransactionAt_{};
--- a/libs/budget/test/large-fleet-test.cpp
+++ b/libs/budget/test/large-fleet-test.cpp
@@ -38,6 +38,14 @@
   milliseconds AwayFrom_{0};
   milliseconds AwayUntil_{0};
   milliseconds Length_ = 16s;
+  /// Time from the start of the routers to the first request.
+  milliseconds WarmUp_ = 4s;
+  /// The first routers run on slow hosts: they handle what has arrived, and
+  /// send, only once in `SlowTurn_`.
+  std::size_t SlowRouters_ = 0;
+  milliseconds SlowTurn_ = 400ms;
+  /// Whether callers repeat a refused request once, at another router.
+  bool CallersRepeat_ = false;
   /// Largest share of requests refused although their budget is not nearly
   /// spent, and of requests served by loans.
   double MaxNeedless_ = 0.02;
@@ -59,8 +67,11 @@
     Lender Lender_;
     LenderChoice Choice_;
     std::optional<base::Transaction> Running_;
+    std::optional<base::TransactionResult> Result_;
     std::optional<base::ReadResult> Read_;
     base::TimePoint ReadAt_{};
+    /// Whether the router handles what has arrived in this step.
+    bool IsRunning_ = true;
   };
 
   void SetUp() override {
@@ -73,8 +84,13 @@
       Settings.StartedAt_ = Now_;
       Settings.ExpectedRouters_ = 4;
       Settings.LoanAddress_ = Name;
-      Routers_.push_back(
-          {std::move(Escrow::create(Settings)).value(), {}, {}, {}, {}, {}});
+      Routers_.push_back({std::move(Escrow::create(Settings)).value(),
+                          {},
+                          {},
+                          {},
+                          {},
+                          {},
+                          {}});
       for (std::size_t Each = 0; Each < Case.Accounts_; ++Each)
         Routers_.back().Slices_.setBudget(account(Each), Tokens(Case.Prepaid_));
     }
@@ -85,6 +101,18 @@
     return base::AccountId("a" + std::to_string(Index));
   }
 
+  /// Marks the routers that handle what has arrived in this step. The turns of
+  /// slow ones are spread over time.
+  void beginStep() {
+    const LoadCase &Case = GetParam();
+    for (std::size_t Index = 0; Index < Case.SlowRouters_; ++Index) {
+      milliseconds Offset =
+          Case.SlowTurn_ * Index / Case.SlowRouters_ / Step * Step;
+      Routers_[Index].IsRunning_ =
+          (TableTime_ + Offset) % Case.SlowTurn_ < Step;
+    }
+  }
+
   /// Lets the routers talk to the table. Each answer takes a step, so that
   /// transactions of several routers overlap.
   void runTable(bool Away) {
@@ -92,18 +120,24 @@
     for (std::size_t Index : Order_) {
       Router &Each = Routers_[Index];
       if (Each.Running_) {
-        base::TransactionResult Result;
-        Result.Status_ = base::TransactionStatus::NotSent;
+        Each.Result_.emplace();
+        Each.Result_->Status_ = base::TransactionStatus::NotSent;
         if (!Away)
-          Result = Table_.apply(*Each.Running_, TableTime_);
+          Each.Result_ = Table_.apply(*Each.Running_, TableTime_);
         Each.Running_.reset();
-        Each.Slices_.onTransaction(Result, Now_);
       }
+      if (!Each.IsRunning_)
+        continue;
+      if (Each.Result_)
+        Each.Slices_.onTransaction(*std::exchange(Each.Result_, std::nullopt),
+                                   Now_);
       if (Each.Read_)
         Each.Slices_.onRows(*std::exchange(Each.Read_, std::nullopt),
                             Each.ReadAt_, Now_);
     }
     for (Router &Each : Routers_) {
+      if (!Each.IsRunning_)
+        continue;
       Each.Lender_.expire(Each.Slices_, Now_);
       if (Each.Slices_.needsRows(Now_)) {
         Each.Read_ = Away ? base::ReadResult() : Table_.scan(TableTime_);
@@ -122,6 +156,7 @@
     base::TimePoint ArrivedAt_{};
     int LoanTries_ = 0;
     base::TimePoint NextLoanAt_{};
+    bool IsRepeated_ = false;
   };
 
   /// Serves a request by the router's own tokens or by a loan. Returns false if
@@ -150,6 +185,8 @@
              Id, Tokens(Bound), Own.Slices_.lenders(Id, Tokens(Bound), Now_),
              Random_, Now_)) {
       Router &Other = Routers_[std::stoul(Address.substr(1))];
+      if (!Other.IsRunning_)
+        continue;
       std::string Loan = "loan" + std::to_string(++LastLoan_);
       bool Granted = Other.Lender_.lend(
           Other.Slices_, {Loan, Id, Tokens(Bound), false, 2s}, Now_);
@@ -172,11 +209,22 @@
   void serveWaiting() {
     constexpr milliseconds MaxWait = 300ms;
     std::erase_if(Waiting_, [&](Request &Each) {
+      if (!Routers_[Each.Router_].IsRunning_)
+        return false;
       base::Duration Waited = Now_ - Each.ArrivedAt_;
       bool Served = serve(Each);
       LongWaits_ += Served && Waited > 100ms ? 1 : 0;
       if (Served || Waited < MaxWait)
         return Served;
+      Routers_[Each.Router_].Slices_.addRefused(account(Each.Account_),
+                                                Tokens(Each.Bound_), Now_);
+      if (GetParam().CallersRepeat_ && !Each.IsRepeated_) {
+        auto Others = static_cast<std::uint32_t>(GetParam().Routers_ - 1);
+        std::size_t Next =
+            (Each.Router_ + 1 + Random_(Others)) % GetParam().Routers_;
+        Each = {Next, Each.Account_, Each.Bound_, Now_, 0, {}, true};
+        return false;
+      }
       std::int64_t Unspent =
           GetParam().Prepaid_ - Spent_[Each.Account_] -
           6 * static_cast<std::int64_t>(GetParam().MeanBound_);
@@ -211,10 +259,10 @@
   std::poisson_distribution<int> Arrivals(
       Case.RequestsPerSecond_ * std::chrono::duration<double>(Step).count());
   std::exponential_distribution<> Size(1 / Case.MeanBound_);
-  constexpr milliseconds WarmUp = 4s;
-  for (milliseconds Time = -WarmUp; Time < Case.Length_; Time += Step) {
+  for (milliseconds Time = -Case.WarmUp_; Time < Case.Length_; Time += Step) {
     Now_ += Step;
     TableTime_ += Step;
+    beginStep();
     runTable(Time >= Case.AwayFrom_ && Time < Case.AwayUntil_);
     for (std::size_t Each = 0; Time >= 0s && Each < Case.Accounts_; ++Each) {
       for (int Left = Arrivals(Random_); Left > 0; --Left) {
@@ -254,6 +302,23 @@
                              .RequestsPerSecond_ = 8,
                              .AwayFrom_ = 5s,
                              .AwayUntil_ = 13s},
+                    LoadCase{.Name_ = "callers_at_a_slow_host",
+                             .Accounts_ = 24,
+                             .RoutersPerAccount_ = 1,
+                             .RequestsPerSecond_ = 15,
+                             .WarmUp_ = 14s,
+                             .SlowRouters_ = 14,
+                             .MaxLoans_ = 1,
+                             .MaxWaits_ = 1},
+                    LoadCase{.Name_ = "callers_that_repeat_at_a_slow_host",
+                             .Accounts_ = 24,
+                             .RoutersPerAccount_ = 1,
+                             .RequestsPerSecond_ = 15,
+                             .WarmUp_ = 14s,
+                             .SlowRouters_ = 14,
+                             .CallersRepeat_ = true,
+                             .MaxLoans_ = 1,
+                             .MaxWaits_ = 1},
                     LoadCase{.Name_ = "budgets_run_out",
                              .Prepaid_ = 1'000'000,
                              .RoutersPerAccount_ = 4,
--- a/libs/budget/test/slow-host-test.cpp
+++ b/libs/budget/test/slow-host-test.cpp
@@ -173,5 +173,69 @@
                   RoutineChange::ReturnsForDemandElsewhere, 400'000, true}),
     [](const auto &Info) { return Info.param.Name_; });
 
+struct BurstCase {
+  std::string Name_;
+  /// Time from building a transaction to taking its result.
+  milliseconds TransactionTime_;
+  std::int64_t Prepaid_ = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const BurstCase &Value) {
+  return Out << Value.Name_;
+}
+
+class BurstTest : public testing::TestWithParam<BurstCase> {};
+
+// Guards against a host that refuses most requests although its slice covers
+// them: the ceiling of a budget that ends soon allows for the usual interval
+// between checkpoints, and a slow host takes a multiple of it.
+TEST_P(BurstTest, CoversTheRequestsUntilTheNextCheckpoint) {
+  const BurstCase &Case = GetParam();
+  constexpr std::int64_t Bound = 2'000; // 50,000 tokens a second
+  constexpr milliseconds Interval = 40ms;
+  TwoRouters Fleet(Case.Prepaid_);
+  Fleet.run(2s);
+  Escrow &Busy = Fleet.Routers_[0];
+  std::optional<base::Transaction> Running;
+  base::TimePoint AnswerAt{};
+  int Requests = 0;
+  int Served = 0;
+  for (milliseconds Time = 0ms; Time < 8s; Time += TwoRouters::Step) {
+    Fleet.advance();
+    Fleet.turn(Fleet.Routers_[1]);
+    Fleet.read(Busy);
+    if (Running && Fleet.Now_ >= AnswerAt)
+      Busy.onTransaction(
+          Fleet.Table_.apply(*std::exchange(Running, std::nullopt),
+                             Fleet.TableTime_),
+          Fleet.Now_);
+    if (!Running) {
+      Running = Busy.nextTransaction(Fleet.Now_);
+      AnswerAt = Fleet.Now_ + Case.TransactionTime_;
+    }
+    if (Time % Interval != 0ms)
+      continue;
+    bool HasTokens =
+        Busy.reserve(Shop, Tokens(Bound), false, Fleet.Now_).has_value();
+    if (HasTokens)
+      Busy.settle(Shop, Tokens(Bound), Tokens(Bound), Fleet.Now_);
+    else
+      Busy.addRefused(Shop, Tokens(Bound), Fleet.Now_);
+    // The first seconds show the router how slow it is.
+    if (Time < 3s)
+      continue;
+    ++Requests;
+    Served += HasTokens ? 1 : 0;
+  }
+  EXPECT_GE(Served, Requests * 9 / 10);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Hosts, BurstTest,
+    testing::Values(BurstCase{"usual_host", 20ms, 1'000'000},
+                    BurstCase{"slow_host", 400ms, 1'000'000},
+                    BurstCase{"slow_host_near_the_end", 400ms, 600'000}),
+    [](const auto &Info) { return Info.param.Name_; });
+
 } // namespace
 } // namespace camphorwind::budget
