Decode the rows of the budget table with simdjson

Cause: each router parses every changed row of all routers, 400 to 900 a second, into a tree of maps, twice (the answer, and the slice in it).

--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -7,6 +7,7 @@
 find_package(spdlog REQUIRED)
 pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
 pkg_check_modules(PROMETHEUS REQUIRED IMPORTED_TARGET prometheus-cpp-core)
+pkg_check_modules(SIMDJSON REQUIRED IMPORTED_TARGET simdjson)
 pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -1,9 +1,11 @@
 #include "escrow-rows.h"
 
 #include <nlohmann/json.hpp>
+#include <simdjson.h>
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace camphorwind::budget::detail {
 
@@ -11,19 +13,36 @@
 
 using Json = nlohmann::json;
 
-std::optional<std::int64_t> integerField(const Json &Object, const char *Name) {
-  auto Found = Object.find(Name);
-  if (Found == Object.end() || !Found->is_number_integer())
-    return std::nullopt;
-  return Found->get<std::int64_t>();
-}
-
-std::optional<Json> parseObject(std::string_view Text) {
-  Json Parsed = Json::parse(Text, nullptr, false);
-  if (!Parsed.is_object())
-    return std::nullopt;
-  return Parsed;
-}
+/// Parses rows that this library reads. Each read of the table has hundreds of
+/// them, and hosts may be small: simdjson takes a fraction of the processor
+/// time of nlohmann/json.
+class RowReader {
+public:
+  explicit RowReader(std::string_view Text) {
+    // The parser keeps its buffers; processes have one loop on one thread.
+    thread_local simdjson::dom::parser Parser;
+    IsObject_ = Parser.parse(Text.data(), Text.size()).get(Object_) ==
+                simdjson::SUCCESS;
+  }
+
+  bool isObject() const { return IsObject_; }
+  std::optional<std::int64_t> integer(const char *Name) const {
+    std::int64_t Value = 0;
+    if (Object_[Name].get(Value) != simdjson::SUCCESS)
+      return std::nullopt;
+    return Value;
+  }
+  std::optional<std::string> text(const char *Name) const {
+    std::string_view Value;
+    if (Object_[Name].get(Value) != simdjson::SUCCESS)
+      return std::nullopt;
+    return std::string(Value);
+  }
+
+private:
+  simdjson::dom::object Object_;
+  bool IsObject_ = false;
+};
 
 } // namespace
 
@@ -84,19 +103,19 @@
 }
 
 std::optional<SliceRow> decodeSlice(std::string_view Text) {
-  auto Parsed = parseObject(Text);
-  if (!Parsed)
+  RowReader Fields(Text);
+  if (!Fields.isObject())
     return std::nullopt;
-  auto Granted = integerField(*Parsed, "granted");
-  auto Used = integerField(*Parsed, "used");
-  auto Burst = integerField(*Parsed, "burst");
-  auto Rate = integerField(*Parsed, "rate");
-  auto Spread = integerField(*Parsed, "spread");
-  auto Delay = integerField(*Parsed, "delay");
-  auto At = integerField(*Parsed, "at");
-  auto Incarnation = Parsed->find("incarnation");
+  auto Granted = Fields.integer("granted");
+  auto Used = Fields.integer("used");
+  auto Burst = Fields.integer("burst");
+  auto Rate = Fields.integer("rate");
+  auto Spread = Fields.integer("spread");
+  auto Delay = Fields.integer("delay");
+  auto At = Fields.integer("at");
+  auto Incarnation = Fields.text("incarnation");
   if (!Granted || !Used || !Burst || !Rate || !Spread || !Delay || !At ||
-      Incarnation == Parsed->end() || !Incarnation->is_string())
+      !Incarnation)
     return std::nullopt;
   // Reject negative values: they would free tokens that may have been spent.
   if (*Granted < 0 || *Used < 0 || *Burst < 0 || *Rate < 0 || *Spread < 0 ||
@@ -104,18 +123,17 @@
     return std::nullopt;
   // Both counts are parts of what is used.
   auto PartOfUsed = [&](const char *Name) {
-    return std::clamp<std::int64_t>(integerField(*Parsed, Name).value_or(0), 0,
-                                    *Used);
+    return std::clamp<std::int64_t>(Fields.integer(Name).value_or(0), 0, *Used);
   };
   auto NotNegative = [&](const char *Name) {
-    return std::max<std::int64_t>(0, integerField(*Parsed, Name).value_or(0));
+    return std::max<std::int64_t>(0, Fields.integer(Name).value_or(0));
   };
-  return SliceRow{Incarnation->get<std::string>(),
+  return SliceRow{std::move(*Incarnation),
                   *Granted,
                   {*Used, *Burst, *Rate, *Spread,
                    std::chrono::milliseconds(*Delay),
                    std::chrono::milliseconds(*At)},
-                  integerField(*Parsed, "demand").value_or(0),
+                  Fields.integer("demand").value_or(0),
                   PartOfUsed("reserved"),
                   PartOfUsed("stranded"),
                   NotNegative("bound"),
@@ -127,8 +145,8 @@
 }
 
 std::optional<std::int64_t> decodeTotal(std::string_view Text) {
-  auto Parsed = parseObject(Text);
-  return Parsed ? integerField(*Parsed, "granted") : std::nullopt;
+  RowReader Fields(Text);
+  return Fields.isObject() ? Fields.integer("granted") : std::nullopt;
 }
 
 std::string encodePresence(const Presence &Value) {
@@ -140,18 +158,13 @@
 }
 
 std::optional<Presence> decodePresence(std::string_view Text) {
-  auto Parsed = parseObject(Text);
-  auto At = Parsed ? integerField(*Parsed, "at") : std::nullopt;
+  RowReader Fields(Text);
+  auto At = Fields.isObject() ? Fields.integer("at") : std::nullopt;
   if (!At)
     return std::nullopt;
-  auto TextOf = [&Parsed](const char *Name) {
-    auto Found = Parsed->find(Name);
-    return Found != Parsed->end() && Found->is_string()
-               ? Found->get<std::string>()
-               : std::string();
-  };
-  return Presence{std::chrono::milliseconds(*At), TextOf("address"),
-                  TextOf("loans"), TextOf("note")};
+  return Presence{
+      std::chrono::milliseconds(*At), Fields.text("address").value_or(""),
+      Fields.text("loans").value_or(""), Fields.text("note").value_or("")};
 }
 
 } // namespace camphorwind::budget::detail
