--- a/libs/budget/src/escrow-rows.cpp
+++ b/libs/budget/src/escrow-rows.cpp
@@ -13,9 +13,9 @@
 
 using Json = nlohmann::json;
 
-/// Parses rows that this library reads. Each read of the table has hundreds of
-/// them, and hosts may be small: simdjson takes a fraction of the processor
-/// time of nlohmann/json.
+/// The members of a row. Each read of the table has hundreds of rows, and hosts
+/// may be small: simdjson takes a fraction of the processor time of
+/// nlohmann/json. Valid until the next one is made.
 class RowReader {
 public:
   explicit RowReader(std::string_view Text) {
