--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -527,7 +527,7 @@
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="camphorwind-review-"))
         self.store = Store(record, seed)
-        ports = Ports()
+        ports = self._ports = Ports()
         self.routers = [Router(f"edge-{ZONES[n % 4]}-{n // 4 + 1}", ZONES[n % 4], self.folder,
                                ports) for n in range(routers)]
         self.engines = []
