--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,126 +1,71 @@
-"""The open connections to the store go silent; meanwhile engines leave without a notice."""
+"""A machine is added while the store is unavailable in part, and is killed later."""
 
 import asyncio
-import collections
 import pathlib
-import random
+import signal
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lab-2"))
 import lab
+import streams as clients
 
-KEY, TENANT = "n2ctnfzs989anu6wsjnb", "hule930"
-SERVICE = "wuno96b"
-DRAIN_S = 2.0
-ENGINES, LEAVING = 12, 2
-SERVES_ON_S = 6.0
-ROUNDS = 7
-# Clients come in clumps, as in a quiet hour.
-CLUMP_S, PAUSE_S = 0.8, 3.0
-PER_S = 20  # within a clump
+PER_S = 50  # streams of all clients
+DOWN_FOR_S = 4.5
 
 
 async def case(record, seed):
-    fleet = lab.Fleet(record, seed)
+    fleet = lab.Fleet(record, seed, routers=5)
+    added = fleet.routers.pop()
     store = fleet.store
-    sent = {}  # attempt -> (time, router)
-    gone = {}  # engine -> when the store accepted that it is gone
-    tasks, late = set(), []
-    silent_at = None
-    arrivals = 0
-    used = collections.Counter()  # requests of the last clump
-
-    def on_arrival(engine, request, status):
-        nonlocal arrivals
-        arrivals += 1
-        used[engine] += 1
-        attempt = request.header("attempt-id")
-        at, router = sent[attempt]
-        if engine not in gone or status == 421 or at <= gone[engine] + DRAIN_S:
-            return
-        in_touch = silent_at is None or at > silent_at + lab.CONTACT_S
-        since = at - silent_at if silent_at else 0
-        record.line(f"request {attempt} sent to {router.name} {at - gone[engine]:.3f} s after "
-                    f"{engine.ident} was gone, {since:.3f} s after the connections went silent, "
-                    f"reaches it; in touch {in_touch}")
-        if in_touch:
-            late.append((router, engine, at - gone[engine], since))
-
-    async def add(number):
-        engine = await fleet.add_engine(SERVICE, lab.ZONES[number % 4], slots=24)
-        engine.on_arrival = on_arrival
-
+    streams, tasks = [], []
+    stop = False
     try:
-        for number in range(ENGINES):
-            await add(number)
-        fleet.operate(
-            [{"name": "r-2", "host": lab.HOST, "prefix": "/puxa403/", "kind": "non_idempotent",
-              "timeout_ms": 1500, "goal_ms": 300, "priority": 2, "service": SERVICE,
-              "attempts": 1, "public": False, "sticky": False, "can_resume": False}],
-            [{"name": SERVICE, "health_path": "/healthz", "max_conns": 100, "protocol": "h1",
-              "tls": False}],
-            [{"name": TENANT, "api_keys": [KEY], "priority": 1}])
+        await clients.add_engines(fleet, "v1", 6)
+        clients.configure(fleet)
         await fleet.start_routers()
         await fleet.wait_ready()
         await asyncio.sleep(3)
+        await clients.add_engines(fleet, "v2", 6)
+        record.say("engines of v2 serve beside those of v1")
+        await asyncio.sleep(3)
 
-        async def one(router):
-            attempt = f"{random.getrandbits(64):016x}"
-            sent[attempt] = (time.monotonic(), router)
-            status, found, _, whole = await lab.call(
-                router, "POST", "/puxa403/2f",
-                {"Attempt-Id": attempt, "Time-Budget": 3000, "Authorization": f"Bearer {KEY}"},
-                b"order", 3)
-            record.line(f"request {attempt} at {router.name}: status {status}, whole {whole}, "
-                        f"by {found.get('response-signature', '-')}")
-
-        async def send(seconds):
-            until = time.monotonic() + seconds
-            while time.monotonic() < until:
-                task = asyncio.create_task(one(random.choice(fleet.routers)))
-                tasks.add(task)
-                task.add_done_callback(tasks.discard)
+        async def send():
+            while not stop:
+                streams.append(clients.Stream(len(streams)))
+                tasks.append(asyncio.create_task(clients.follow(fleet, streams[-1], record)))
                 await asyncio.sleep(1 / PER_S)
 
-        async def exit_later(engine):
-            await asyncio.sleep(SERVES_ON_S)
-            engine.exit()
-
-        await send(3)
-        for _ in range(ROUNDS):
-            used.clear()
-            await send(CLUMP_S)
-            if lab.trouble() == "1":
-                silent_at = time.monotonic()
-                record.say(f"{store.silence_connections()} open connections to the store go "
-                           "silent")
-            began = time.monotonic()
-            await asyncio.sleep(0.2)
-            for engine in [each for each, _ in used.most_common(LEAVING)]:
-                engine.beats, engine.leaving = False, True
-                gone[engine] = store.remove("servers", engine.ident)
-                record.say(f"{engine.ident} is gone; it serves on for {SERVES_ON_S:.0f} s")
-                asyncio.create_task(exit_later(engine))
-            await asyncio.sleep(began + PAUSE_S + 0.05 - time.monotonic())
-            await send(CLUMP_S)
-            await asyncio.sleep(3)
-            for number in range(LEAVING):
-                await add(number)
-            await asyncio.sleep(2)
-        if tasks:
-            await asyncio.wait(tasks, timeout=4)
+        sender = asyncio.create_task(send())
+        await asyncio.sleep(2)
+        tables = sorted({key[0] for key in store.rows} - {"op", "servers"})
+        record.say(f"the system's tables are {', '.join(tables)}")
+        if lab.trouble() in ("1", "down"):
+            store.down_tables = {"camphorwind_streams"}
+            record.say("the store is unavailable in part")
+        added.configure(await store.listen(added.name))
+        await added.start()
+        await fleet.wait_ready([added], 3)
+        fleet.routers.append(added)
+        record.say(f"{added.name} is added and ready")
+        await asyncio.sleep(DOWN_FOR_S - 0.8)
+        if lab.trouble() in ("1", "kill"):
+            added.signal(signal.SIGKILL)
+            record.say(f"{added.name} is killed")
+        await asyncio.sleep(0.3)
+        store.down_tables = set()
+        record.say("the whole store is available again")
+        if lab.trouble() in ("1", "kill"):
+            await added.end()
+            await added.start()
+        await asyncio.sleep(6)
+        stop = True
+        await sender
+        await asyncio.wait(tasks, timeout=clients.DEADLINE_S + 2)
     finally:
+        fleet.routers = list({*fleet.routers, added})
         await fleet.end()
-    record.say(f"{arrivals} requests reached engines, {len(late)} of them an engine that had "
-               f"been gone for over {DRAIN_S:.0f} s, from machines in touch")
-    if not late:
-        return []
-    router, engine, after, since = max(late, key=lambda each: each[2])
-    return [f"{len(late)} requests reached engines later than {DRAIN_S:.0f} s after the store "
-            f"had accepted that they were gone, such as one sent to {router.name} "
-            f"{after:.2f} s after that, {since:.2f} s after the connections went silent"]
+    return clients.judge(record, streams)
 
 
 if __name__ == "__main__":
--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -569,7 +569,8 @@
     """The case could not run."""
 
 
-async def call(router, method, path, headers, body=b"", limit_s=20, on_event=None):
+async def call(router, method, path, headers, body=b"", limit_s=20, on_event=None,
+               on_open=None):
     """Sends one client attempt on a new connection. Returns the status, the headers, the body
     and whether the answer is whole; status 0 if the connection ended without an answer."""
     writer = None
@@ -577,6 +578,8 @@
     try:
         reader, writer = await asyncio.wait_for(
             asyncio.open_connection("127.0.0.1", router.front), 1)
+        if on_open:
+            on_open(writer)
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         lines.append(f"Content-Length: {len(body)}")
--- a/review/lab-2/streams.py
+++ b/review/lab-2/streams.py
@@ -17,13 +17,16 @@
 class Stream:
     """What one client wants, over all its tries."""
 
-    def __init__(self, number):
-        self.number = number
+    def __init__(self, number, events=EVENTS):
+        self.number, self.events = number, events
         self.first_attempt = ""  # brought the first event
         self.last = 0
         self.versions = []  # of the engines of its events, in order
         self.tries = []
         self.done = False
+        self.sent_at = time.monotonic()
+        self.router = None  # of the try that is open
+        self.writer = None
 
 
 async def follow(fleet, stream, record):
@@ -35,7 +38,7 @@
         left = until - time.monotonic()
         if left < 0.5:
             break
-        headers = {"Attempt-Id": attempt, "Model": "m", "Token-Usage": f"670,{EVENTS * 4}",
+        headers = {"Attempt-Id": attempt, "Model": "m", "Token-Usage": f"670,{stream.events * 4}",
                    "Prompt-Prefix": parts, "Time-Budget": int(left * 1000),
                    "Authorization": f"Bearer {KEY}"}
         if stream.last:
@@ -56,8 +59,11 @@
                     stream.versions.append(version)
 
         after = stream.last
+        stream.router = router
         status, found, _, whole = await lab.call(
-            router, "POST", "/lohu930/2f", headers, b"x" * 200, left, on_event)
+            router, "POST", "/lohu930/2f", headers, b"x" * 200, left, on_event,
+            lambda writer: setattr(stream, "writer", writer))
+        stream.writer = None
         stream.tries.append((router.name, status))
         record.line(f"stream {stream.number} attempt {attempt} at {router.name} after event "
                     f"{after} resumes {headers.get('Resumes', '-')}: status {status}, whole "
