--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -23,9 +23,32 @@
 HOST = "ficu95.example"
 HEARTBEAT_S = 1.2
 CONTACT_S = 3.0
+# The platform's names, and the settings and services of a small deployment.
+PLATFORM = json.loads((pathlib.Path(__file__).parent / "platform.json").read_text())
+NAMES, CALLS = PLATFORM["headers"], PLATFORM["calls"]
+CONDITIONS = PLATFORM["conditions"]
 ENDED = (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError)
 
 
+def route(name, prefix, service, kind, attempts=1):
+    return {**PLATFORM["route"], "name": name, "host": HOST, "prefix": prefix,
+            "service": service, "kind": kind, "attempts": attempts}
+
+
+def stream_route(name, prefix, service):
+    return {**PLATFORM["stream_route"], "name": name, "host": HOST, "prefix": prefix,
+            "service": service}
+
+
+def service(name, **more):
+    return {"name": name, "health_path": "/healthz", "max_conns": 100, "protocol": "h1",
+            "tls": False, **more}
+
+
+def tenant(name, key, **more):
+    return {"name": name, PLATFORM["keys"]: [key], "priority": 1, **more}
+
+
 def trouble():
     """Returns the variant: "0" is without the disruption, "1" with all of it."""
     return os.environ.get("TROUBLE", "1")
@@ -224,13 +247,13 @@
         fields = dict(each.partition("=")[::2] for each in query.split("&") if each)
         await asyncio.sleep(0.004)
         status, body = 404, {}
-        if path == "/rows-tx":
+        if path == CALLS["transact"]:
             return await self._transact(json.loads(request.body), writer)
         if fields.get("table") in self.down_tables:
             status = 503
-        elif path == "/rows-get":
+        elif path == CALLS["read"]:
             status, body = 200, self._get(fields)
-        elif path == "/rows-feed":
+        elif path == CALLS["feed"]:
             status, body = await self._feed(fields)
         elif path == "/rows-parts":
             status, body = 200, {"parts": sorted({key[1] for key in self.rows
@@ -248,7 +271,7 @@
         return True
 
     async def _transact(self, change, writer):
-        entries = change.get("if_rev", []) + change.get("puts", []) + change.get("remove", [])
+        entries = change.get(CONDITIONS, []) + change.get("puts", []) + change.get("remove", [])
         tables = {each["table"] for each in entries}
         if tables & {"op", "servers"}:
             return self._reply(writer, 403, {})
@@ -269,7 +292,7 @@
         def place(entry):
             return entry["table"], entry.get("part", ""), entry["key"]
 
-        conditions = [(place(each), each["revision"]) for each in change.get("if_rev", [])]
+        conditions = [(place(each), each["revision"]) for each in change.get(CONDITIONS, [])]
         if any(self.rows.get(key, (None, 0))[1] != expected for key, expected in conditions):
             rows = [self._row(key, *self.rows[key]) for key, _ in conditions
                     if key in self.rows]
@@ -387,8 +410,8 @@
 
     async def _answer(self, request, reader, writer):
         attempt = request.header("attempt-id")
-        headers = {"Attempt-Id": attempt, "Engine-Load": f"{self.running},0,{self.slots}",
-                   "Keep-Alive": "timeout=15"}
+        headers = {NAMES["attempt"]: attempt,
+                   NAMES["load"]: f"{self.running},0,{self.slots}", "Keep-Alive": "timeout=15"}
         if self.leaving:
             headers["Server-Leaving"] = "1"
         if request.start[1] == "/healthz":
@@ -400,13 +423,13 @@
             return True
         if self.running >= self.slots:
             self.on_arrival(self, request, 503)
-            writer.write(answer(503, {**headers, "Not-Executed": "1"}))
+            writer.write(answer(503, {**headers, NAMES["not_executed"]: "1"}))
             return True
         self.on_arrival(self, request, 200)
         self.on_run(self, request)
         self.running += 1
         try:
-            headers["Response-Signature"] = f"{self.ident}.{attempt}"
+            headers[NAMES["signature"]] = f"{self.ident}.{attempt}"
             await asyncio.sleep(self.work_s)
             if not self.stream:
                 writer.write(answer(200, headers, f"{self.ident} {attempt}".encode() * 10))
@@ -469,35 +492,19 @@
 
     def configure(self, store_port):
         fields = {
-            "node": self.name, "role": "router", "machine_class": "edge", "planes": "edge",
-            "ip": "127.0.0.1", "zone": self.zone, "region": "viti-central",
+            **PLATFORM["settings"], "node": self.name, "zone": self.zone,
             **{f"zones.{each}": "viti-central" for each in ZONES},
             "bind.front": f"127.0.0.1:{self.front}",
             "bind.readiness": f"127.0.0.1:{self.readiness}",
-            "port_range": f"{self.peers},{self.peers + 15}", "bootstrap": "true",
-            "limits.cpu_share": 0.19, "limits.cpu_cores": 1, "limits.ram_mb": 260,
-            "limits.max_fds": 4100, "limits.link_mbps": 1000.0, "limits.disk_mb": 0,
-            "discovery": "platform", "entry_mode": "vip", "heartbeat_ms": 1200,
-            "invariants": "base,drain,config,cost,retry,recover,engine,stream,tenants,platform",
-            "bounds.seed_delay_s": 3, "bounds.addr_reuse_s": 2, "bounds.contact_ms": 3000,
-            "bounds.ack_timeout_ms": 4000, "bounds.sync_s": 4, "bounds.drain_timeout_ms": 2000,
-            "bounds.grace_period_s": 8, "bounds.loss_slack_ms": 200,
-            "bounds.config_deadline_ms": 2000, "bounds.rollback_slack_ms": 250,
-            "bounds.skew_ms": 5000, "bounds.strict_revoke": "false",
-            "bounds.revoke_deadline_ms": 5000, "bounds.budget_ratio": 0.2,
-            "bounds.budget_window_s": 10, "bounds.budget_slack": 54, "bounds.recovery_s": 12,
-            "bounds.pass_ms": 120, "bounds.retry_after_s": 7.5, "bounds.settle_ms": 1500,
-            "provider.addr": f"127.0.0.1:{store_port}", "provider.form": "table",
-            "provider.writes_per_s": 800, "provider.reads_per_s": 2000, "provider.tx_ms": 5.0,
-            "provider.part_writes_s": 200, "provider.row_bytes": 65536,
-            "provider.across": "false", "provider.history_s": 20}
+            "port_range": f"{self.peers},{self.peers + 15}",
+            PLATFORM["store_address"]: f"127.0.0.1:{store_port}"}
         self._settings.write_text("".join(f"{k}={v}\n" for k, v in fields.items()))
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
             str(ROUTER), stdout=self._log, stderr=self._log, cwd=REPOSITORY,
             env={"PATH": os.environ.get("PATH", ""), "HOME": "/", "LANG": "C",
-                 "CAMPHORWIND_SETTINGS": str(self._settings)})
+                 PLATFORM["settings_variable"]: str(self._settings)})
 
     def signal(self, number):
         if self.process and self.process.returncode is None:
--- a/review/lab-2/streams.py
+++ b/review/lab-2/streams.py
@@ -38,8 +38,9 @@
         left = until - time.monotonic()
         if left < 0.5:
             break
-        headers = {"Attempt-Id": attempt, "Model": "m", "Token-Usage": f"670,{stream.events * 4}",
-                   "Prompt-Prefix": parts, "Time-Budget": int(left * 1000),
+        headers = {lab.NAMES["attempt"]: attempt, "Model": "m",
+                   lab.NAMES["tokens"]: f"670,{stream.events * 4}",
+                   lab.NAMES["prompt"]: parts, lab.NAMES["time"]: int(left * 1000),
                    "Authorization": f"Bearer {KEY}"}
         if stream.last:
             headers["Last-Event-Id"] = stream.last
@@ -79,15 +80,9 @@
 
 def configure(fleet):
     """The operator's configuration: one route whose streams may be resumed."""
-    fleet.operate(
-        [{"name": "r-1", "host": lab.HOST, "prefix": "/lohu930/", "kind": "streaming",
-          "timeout_ms": 15000, "goal_ms": 300, "priority": 2, "service": SERVICE,
-          "attempts": 2, "public": False, "sticky": True, "can_resume": True,
-          "gap_target_ms": 200}],
-        [{"name": SERVICE, "health_path": "/healthz", "max_conns": 360, "protocol": "h1",
-          "tls": False, "engine": {"slots": 64, "kv_capacity": 551016, "stride": 4,
-                                   "models": [{"name": "m"}]}}],
-        [{"name": TENANT, "api_keys": [KEY], "priority": 1, "prepaid": 500_000_000}])
+    fleet.operate([lab.stream_route("r-1", "/lohu930/", SERVICE)],
+                  [lab.service(SERVICE, max_conns=360, engine=lab.PLATFORM["engine"])],
+                  [lab.tenant(TENANT, KEY, prepaid=500_000_000)])
 
 
 async def add_engines(fleet, version, count):
