Log how the version of a taken-up stream is known

A stream that goes on at another software version may have had a wrong row in the table, or none. The log did not tell these apart; stream_taken_up does.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -223,9 +223,17 @@
   if (Finished_)
     return;
   // Without the table, this router can't tell which versions have joined.
-  if (!useStreamOrigin() && !(TableRead && assumeFirstVersion()))
+  bool IsInTable = useStreamOrigin();
+  if (!IsInTable && !(TableRead && assumeFirstVersion())) {
     refuse(RefusalReason::StreamUnknown, StreamUnknownRetryAfter);
-  else if (reserveTokens())
+    return;
+  }
+  observe::log(LogLevel::Info, "stream_taken_up",
+               {{"request", RequestMetadata_.AttemptId_},
+                {"stream", RequestMetadata_.ResumedAttempt_},
+                {"software", *Software_},
+                {"in_table", IsInTable}});
+  if (reserveTokens())
     placeAttempt();
 }
 
