--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -25,6 +25,10 @@
   std::string Software_;
   /// When the attempt was sent.
   base::TimePoint BeganAt_{};
+  /// Number of the write that brought the stream to the table, among those of
+  /// the router that began it. An attempt may be sent to several versions in
+  /// turn; its highest write counts.
+  std::uint64_t Write_ = 0;
 };
 
 /// A software version that served in a pool.
@@ -107,6 +111,8 @@
   struct Stream {
     StreamOrigin Origin_;
     bool Written_ = false;
+    /// Whether this router began the stream; it then knows best.
+    bool Own_ = false;
   };
   struct Version {
     base::TimePoint FirstSeenAt_{};
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -1,6 +1,7 @@
 #include "camphorwind/direct/stream-versions.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace camphorwind::direct {
@@ -63,17 +64,21 @@
   Unwritten_.push_back(Origin.Attempt_);
   auto Known = Streams_.find(Origin.Attempt_);
   if (Known != Streams_.end())
-    Known->second = {std::move(Origin), false};
+    Known->second = {std::move(Origin), false, true};
   else
-    insert({std::move(Origin), false});
+    insert({std::move(Origin), false, true});
 }
 
 void StreamVersions::add(StreamOrigin Origin) {
   auto Known = Streams_.find(Origin.Attempt_);
-  if (Known == Streams_.end())
-    insert({std::move(Origin), true});
-  else if (Origin.BeganAt_ > Known->second.Origin_.BeganAt_)
-    Known->second = {std::move(Origin), true};
+  if (Known == Streams_.end()) {
+    insert({std::move(Origin), true, false});
+    return;
+  }
+  const StreamOrigin &Earlier = Known->second.Origin_;
+  if (!Known->second.Own_ && std::tie(Origin.Write_, Origin.BeganAt_) >
+                                 std::tie(Earlier.Write_, Earlier.BeganAt_))
+    Known->second = {std::move(Origin), true, false};
 }
 
 void StreamVersions::insert(Stream Inserted) {
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -221,6 +221,17 @@
   EXPECT_EQ(Others.find("a1")->Software_, "v2");
 }
 
+/// Guards against an earlier send of a stream that counts as the last one
+/// because clocks were set in between.
+TEST(StreamVersionsTest, LastWriteOfARouterDecides) {
+  StreamVersions Others(Start);
+  Others.add({"a1", Pool, "v2", Start, 2});
+  Others.add({"a1", Pool, "v1", Start + 1s, 1});
+  EXPECT_EQ(Others.find("a1")->Software_, "v2");
+  Others.add({"a1", Pool, "v1", Start, 3});
+  EXPECT_EQ(Others.find("a1")->Software_, "v1");
+}
+
 TEST(StreamVersionsTest, OldAndExcessStreamsAreForgotten) {
   StreamVersions Streams(Start);
   for (std::size_t Index = 0; Index <= StreamVersions::MaxStreams; ++Index)
