Hold a stream that was sent to another version before until it is written

An attempt that an endpoint of v2 has not served is sent on to one of v1. The table may have it as a stream of v2 by then, and events of v1, the first version, were passed on before the table was corrected, during an outage for as long as it lasted. If the router was killed meanwhile, the stream was taken up at v2 (ORDER).

Change: such a stream is held back until its latest version is written. An attempt that was sent several times is written once.

StreamThatWasSentElsewhereBeforeStartsOnceWritten fails before and holds now; 153 tests of direct-test hold.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -448,9 +448,12 @@
 
 bool ForwardedRequest::mustHold() const {
   const std::string &Software = Attempt_.Target_.SoftwareVersion_;
+  const StreamVersions &Streams = Context_.Streams_;
   if (!Context_.FindStream_ || !isNewResumable() ||
-      Context_.Streams_.isWritten(RequestMetadata_.AttemptId_) ||
-      !Context_.Streams_.needsWriting(Pool_, Software, Context_.Loop_.now()))
+      Streams.isWritten(RequestMetadata_.AttemptId_))
+    return false;
+  if (!Streams.needsWriting(Pool_, Software, Context_.Loop_.now()) &&
+      !Streams.mayBeTakenForAnother(RequestMetadata_.AttemptId_))
     return false;
   const auto &Usable = Context_.Endpoints_.usable();
   return std::any_of(Usable.begin(), Usable.end(), [&](const auto &Each) {
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1796,7 +1796,33 @@
   return Out << Value.Name_;
 }
 
-class HeldStreamTest : public DirectRouterTest,
+class VersionedStreamTest : public DirectRouterTest {
+protected:
+  /// Lists an endpoint of v1, later one of v2. The second is preferred if
+  /// \p PrefersSecond, the first otherwise.
+  void listTwoVersions(bool PrefersSecond) {
+    for (std::string_view Software : {"v1", "v2"}) {
+      Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+      bool IsSecond = Software == "v2";
+      list(std::string(Software), Endpoints_.back()->address(),
+           IsSecond == PrefersSecond ? "here" : "far", std::string(Software));
+      wait(1100ms);
+    }
+  }
+
+  /// Starts a call; \p Body gets what arrives of the answer's body.
+  void startCall(std::string &Body) {
+    net::OriginEvents Events;
+    Events.OnHead_ = [](const net::OriginHead &) {
+      return net::HeadVerdict::Accept;
+    };
+    Events.OnBody_ = [&Body](std::string_view Data) { Body.append(Data); };
+    Events.OnEnd_ = [](const base::Result<void, net::OriginError> &) {};
+    Caller_.start(makeCall(), std::move(Events));
+  }
+};
+
+class HeldStreamTest : public VersionedStreamTest,
                        public testing::WithParamInterface<HeldStreamCase> {};
 
 /// Guards against a stream of the second version that its router has not
@@ -1807,23 +1833,10 @@
   Router_->streams().setHistoryKnown();
   Router_->onStreamLookup([](const std::string &, auto) {});
   Script_->push_back(EndpointBehavior::SlowStream);
-  bool PrefersSecond = Case.SecondVersion_ || !Case.TableWritable_;
-  for (std::string_view Software : {"v1", "v2"}) {
-    Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
-    bool IsSecond = Software == "v2";
-    list(std::string(Software), Endpoints_.back()->address(),
-         IsSecond == PrefersSecond ? "here" : "far", std::string(Software));
-    wait(1100ms);
-  }
+  listTwoVersions(Case.SecondVersion_ || !Case.TableWritable_);
   Router_->streams().setWritable(Case.TableWritable_);
   std::string Body;
-  net::OriginEvents Events;
-  Events.OnHead_ = [](const net::OriginHead &) {
-    return net::HeadVerdict::Accept;
-  };
-  Events.OnBody_ = [&Body](std::string_view Data) { Body.append(Data); };
-  Events.OnEnd_ = [](const base::Result<void, net::OriginError> &) {};
-  Caller_.start(makeCall(), std::move(Events));
+  startCall(Body);
   wait(200ms);
   EXPECT_EQ(Endpoints_[1]->Requests_.empty(), !Case.SecondVersion_);
   EXPECT_EQ(Body.empty(), Case.Held_);
@@ -1855,6 +1868,31 @@
                         .Held_ = false}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against a stream of the first version that the table has as one of
+/// the second, to which it was sent before.
+TEST_F(VersionedStreamTest, StreamThatWasSentElsewhereBeforeStartsOnceWritten) {
+  configure(RequestKind::Stream, true);
+  Router_->streams().setHistoryKnown();
+  Router_->onStreamLookup([](const std::string &, auto) {});
+  *Script_ = {EndpointBehavior::SilentUntilRefusal,
+              EndpointBehavior::SlowStream};
+  listTwoVersions(true);
+  Endpoints_[1]->Silence_ = 200ms;
+  std::string Body;
+  startCall(Body);
+  wait(100ms);
+  auto Written = Router_->streams().takeUnwritten(Loop_->now());
+  ASSERT_EQ(Written.size(), 1u);
+  EXPECT_EQ(Written[0].Software_, "v2");
+  Router_->streamsWritten(Written);
+  wait(300ms);
+  EXPECT_EQ(Endpoints_[0]->Requests_.size(), 1u);
+  EXPECT_EQ(Body, "");
+  Router_->streamsWritten(Router_->streams().takeUnwritten(Loop_->now()));
+  wait(1500ms);
+  EXPECT_EQ(Body, AllEvents);
+}
+
 /// What the table says when a caller takes up a stream that the router does not
 /// know, while it lists only v1.
 struct TakeUpLookupCase {
--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -93,6 +93,9 @@
   bool needsWriting(const base::PoolId &Pool, const std::string &Software,
                     base::TimePoint Now) const;
   bool isWritten(const std::string &Attempt) const;
+  /// Whether the table may have the stream under another version, to which its
+  /// attempt was sent before.
+  bool mayBeTakenForAnother(const std::string &Attempt) const;
 
   /// Returns streams that this router began and that the table lacks, as far as
   /// a later process or another router could mistake their version.
@@ -113,6 +116,12 @@
     bool Written_ = false;
     /// Whether this router began the stream; it then knows best.
     bool Own_ = false;
+    /// Whether Unwritten_ names the stream.
+    bool Queued_ = false;
+    /// Whether the stream was ever taken to be written.
+    bool Taken_ = false;
+    /// Whether it was taken under another version before.
+    bool TakenBefore_ = false;
   };
   struct Version {
     base::TimePoint FirstSeenAt_{};
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -61,24 +61,32 @@
 }
 
 void StreamVersions::sent(StreamOrigin Origin) {
-  Unwritten_.push_back(Origin.Attempt_);
-  auto Known = Streams_.find(Origin.Attempt_);
-  if (Known != Streams_.end())
-    Known->second = {std::move(Origin), false, true};
-  else
-    insert({std::move(Origin), false, true});
+  auto Found = Streams_.find(Origin.Attempt_);
+  if (Found == Streams_.end()) {
+    Unwritten_.push_back(Origin.Attempt_);
+    insert({.Origin_ = std::move(Origin), .Own_ = true, .Queued_ = true});
+    return;
+  }
+  Stream &Known = Found->second;
+  if (!std::exchange(Known.Queued_, true))
+    Unwritten_.push_back(Origin.Attempt_);
+  Known.TakenBefore_ |=
+      Known.Taken_ && Known.Origin_.Software_ != Origin.Software_;
+  Known.Origin_ = std::move(Origin);
+  Known.Written_ = false;
+  Known.Own_ = true;
 }
 
 void StreamVersions::add(StreamOrigin Origin) {
   auto Known = Streams_.find(Origin.Attempt_);
   if (Known == Streams_.end()) {
-    insert({std::move(Origin), true, false});
+    insert({.Origin_ = std::move(Origin), .Written_ = true});
     return;
   }
   const StreamOrigin &Earlier = Known->second.Origin_;
   if (!Known->second.Own_ && std::tie(Origin.Write_, Origin.BeganAt_) >
                                  std::tie(Earlier.Write_, Earlier.BeganAt_))
-    Known->second = {std::move(Origin), true, false};
+    Known->second = {.Origin_ = std::move(Origin), .Written_ = true};
 }
 
 void StreamVersions::insert(Stream Inserted) {
@@ -132,6 +140,12 @@
   return Known != Streams_.end() && Known->second.Written_;
 }
 
+bool StreamVersions::mayBeTakenForAnother(const std::string &Attempt) const {
+  auto Known = Streams_.find(Attempt);
+  return Known != Streams_.end() && Known->second.TakenBefore_ &&
+         !Known->second.Written_;
+}
+
 bool StreamVersions::isAmbiguous(const base::PoolId &Pool,
                                  base::TimePoint Now) const {
   auto Found = Versions_.find(Pool);
@@ -151,11 +165,15 @@
                    [](const auto &Each) { return Each.second; }))
     return Taken;
   std::erase_if(Unwritten_, [&](const std::string &Attempt) {
-    const StreamOrigin *Origin = find(Attempt);
-    if (Origin && !Ambiguous[Origin->Pool_])
+    auto Found = Streams_.find(Attempt);
+    if (Found == Streams_.end())
+      return true;
+    Stream &Each = Found->second;
+    if (!Ambiguous[Each.Origin_.Pool_])
       return false;
-    if (Origin)
-      Taken.push_back(*Origin);
+    Each.Queued_ = false;
+    Each.Taken_ = true;
+    Taken.push_back(Each.Origin_);
     return true;
   });
   return Taken;
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -221,6 +221,26 @@
   EXPECT_EQ(Others.find("a1")->Software_, "v2");
 }
 
+/// Guards against a stream that the table has under the version to which it was
+/// sent before.
+TEST(StreamVersionsTest, TellsWhenTheTableMayHaveAnotherVersionOfAStream) {
+  StreamVersions Streams(Start);
+  Streams.setHistoryKnown();
+  Streams.markListed(Pool, "v1", Start);
+  Streams.markListed(Pool, "v2", Start + 5s);
+  Streams.sent({"a1", Pool, "v2", Start + 5s});
+  Streams.sent({"a1", Pool, "v1", Start + 6s});
+  EXPECT_FALSE(Streams.mayBeTakenForAnother("a1"));
+  Streams.sent({"a2", Pool, "v2", Start + 6s});
+  EXPECT_EQ(Streams.takeUnwritten(Start + 6s).size(), 2u);
+  Streams.sent({"a2", Pool, "v2", Start + 7s});
+  EXPECT_FALSE(Streams.mayBeTakenForAnother("a2"));
+  Streams.sent({"a2", Pool, "v1", Start + 7s});
+  EXPECT_TRUE(Streams.mayBeTakenForAnother("a2"));
+  Streams.markWritten({{"a2", Pool, "v1", Start + 7s}});
+  EXPECT_FALSE(Streams.mayBeTakenForAnother("a2"));
+}
+
 /// Guards against an earlier send of a stream that counts as the last one
 /// because clocks were set in between.
 TEST(StreamVersionsTest, LastWriteOfARouterDecides) {
