Hold and refuse new streams while the stream table has not been read

Cause: a router that had not read the table did not know which version had joined first, and took that for 'no stream needs to be written'. It passed on first events of streams that stood in no table, and counted as able to write to the table until a write failed, though it writes nothing before the first read. The other routers take a stream that the table lacks for one of the first version.

Evidence: the stand-in answers all calls about the table with 503 while the router is up; it is killed before the first read succeeds.

If another version serves, first events are held back, and new streams that would be held back at all endpoints are refused at once as not run (503, stream_table_unreachable, Retry-After), so that callers go to a router that knows the table. With one version nothing changes. The router is ready all the same: it serves all other requests.

--- a/daemons/common/refusals.cpp
+++ b/daemons/common/refusals.cpp
@@ -74,6 +74,8 @@
     return {503, "The budget can't be drawn on at the moment."};
   case RefusalReason::StreamUnknown:
     return {503, "It is not known which software version began the stream."};
+  case RefusalReason::StreamTableUnreachable:
+    return {503, "The stream can't be recorded at the moment."};
   case RefusalReason::NoEndpoint:
     return {503, "No endpoint is available."};
   case RefusalReason::Evacuated:
--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -37,7 +37,7 @@
 constexpr milliseconds TokensElsewhereRetryAfter = 1500ms;
 /// Retry-After when it is not known which version began a stream: the time in
 /// which the router that knows writes it to the table.
-constexpr milliseconds StreamUnknownRetryAfter = 300ms;
+constexpr milliseconds StreamRetryAfter = 300ms;
 /// Maximum number of attempts per request, including those that reached no
 /// endpoint.
 constexpr unsigned MaxSends = 4;
@@ -173,7 +173,8 @@
                    Body_ ? std::string_view(*Body_) : ""});
   Suspects_ = routing::suspectsIn(prompt(), Fingerprint_);
   Context_.poolState(Pool_).Retries_.addRequest(WholeAt_);
-  if (!refuseQuarantined() && resolveStream() && reserveTokens())
+  if (!refuseQuarantined() && resolveStream() && !refuseUnrecorded() &&
+      reserveTokens())
     placeAttempt();
 }
 
@@ -184,7 +185,7 @@
   if (!Context_.FindStream_) {
     if (assumeFirstVersion())
       return true;
-    refuse(RefusalReason::StreamUnknown, StreamUnknownRetryAfter);
+    refuse(RefusalReason::StreamUnknown, StreamRetryAfter);
     return false;
   }
   Context_.FindStream_(RequestMetadata_.ResumedAttempt_,
@@ -225,7 +226,7 @@
   // Without the table, this router can't tell which versions have joined.
   bool IsInTable = useStreamOrigin();
   if (!IsInTable && !(TableRead && assumeFirstVersion())) {
-    refuse(RefusalReason::StreamUnknown, StreamUnknownRetryAfter);
+    refuse(RefusalReason::StreamUnknown, StreamRetryAfter);
     return;
   }
   observe::log(LogLevel::Info, "stream_taken_up",
@@ -426,19 +427,35 @@
 
 void ForwardedRequest::excludeUnwritable(
     std::vector<base::EndpointId> &Excluded) const {
-  std::vector<base::EndpointId> Unwritable;
-  bool HasOthers = false;
-  for (const auto &[Id, Each] : Context_.Endpoints_.usable()) {
-    if (Each.Pool_ != Pool_)
-      continue;
-    if (Context_.Streams_.needsWriting(Pool_, Each.SoftwareVersion_,
-                                       Context_.Loop_.now()))
-      Unwritable.push_back(Id);
-    else
-      HasOthers = true;
-  }
-  if (HasOthers)
-    Excluded.insert(Excluded.end(), Unwritable.begin(), Unwritable.end());
+  VersionNeeds Needs = versionNeeds();
+  if (std::all_of(Needs.begin(), Needs.end(),
+                  [](const auto &Each) { return Each.second; }))
+    return;
+  for (const auto &[Id, Each] : Context_.Endpoints_.usable())
+    if (Each.Pool_ == Pool_ && Needs[Each.SoftwareVersion_])
+      Excluded.push_back(Id);
+}
+
+ForwardedRequest::VersionNeeds ForwardedRequest::versionNeeds() const {
+  VersionNeeds Needs;
+  for (const auto &[Id, Each] : Context_.Endpoints_.usable())
+    if (Each.Pool_ == Pool_ && !Needs.contains(Each.SoftwareVersion_))
+      Needs[Each.SoftwareVersion_] = Context_.Streams_.needsWriting(
+          Pool_, Each.SoftwareVersion_, Context_.Loop_.now());
+  return Needs;
+}
+
+bool ForwardedRequest::refuseUnrecorded() {
+  if (!isNewResumable() || Context_.Streams_.writable())
+    return false;
+  VersionNeeds Needs = versionNeeds();
+  // Streams of the only version that serves are not held back.
+  if (Needs.size() <= 1 ||
+      !std::all_of(Needs.begin(), Needs.end(),
+                   [](const auto &Each) { return Each.second; }))
+    return false;
+  refuse(RefusalReason::StreamTableUnreachable, StreamRetryAfter);
+  return true;
 }
 
 bool ForwardedRequest::isNewResumable() const {
@@ -501,7 +518,7 @@
   // Ends the request through onConnectionEnd().
   if (Context_.lags(Now) && Exchange_->endIfCallerLeft())
     return;
-  if (refuseQuarantined())
+  if (refuseQuarantined() || refuseUnrecorded())
     return;
   std::vector<base::EndpointId> Excluded = excludedEndpoints();
   routing::PlacementRequest PlacementRequest = makePlacementRequest(Excluded);
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -172,9 +173,16 @@
   /// Whether a caller that takes the stream up elsewhere could be sent to an
   /// endpoint of another version, as the table lacks the stream.
   bool mustHold() const;
+  /// The software versions of the pool's usable endpoints, each with whether
+  /// its streams have to be written to the table.
+  using VersionNeeds = std::map<std::string, bool>;
+  VersionNeeds versionNeeds() const;
   /// Adds the endpoints whose streams could not be written to the table now, if
   /// there are others.
   void excludeUnwritable(std::vector<base::EndpointId> &Excluded) const;
+  /// Refuses a new stream while it would be held back at all endpoints, as the
+  /// table takes no writes. Returns whether it was refused.
+  bool refuseUnrecorded();
   /// Stops reading the current attempt's response, or goes on.
   void setReading(bool Reading);
   /// Returns the number of unsent bytes of the stream above which reading from
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1786,6 +1786,7 @@
   std::string_view Name_;
   /// Whether the stream reaches the endpoint of the second version.
   bool SecondVersion_ = true;
+  bool TableRead_ = true;
   bool TableWritable_ = true;
   bool Resumable_ = true;
   bool Held_ = true;
@@ -1830,7 +1831,8 @@
 TEST_P(HeldStreamTest, StartsOnceOthersCanKnowItsVersion) {
   const HeldStreamCase &Case = GetParam();
   configure(RequestKind::Stream, Case.Resumable_);
-  Router_->streams().setHistoryKnown();
+  if (Case.TableRead_)
+    Router_->streams().setHistoryKnown();
   Router_->onStreamLookup([](const std::string &, auto) {});
   Script_->push_back(EndpointBehavior::SlowStream);
   listTwoVersions(Case.SecondVersion_ || !Case.TableWritable_);
@@ -1844,7 +1846,9 @@
     Router_->endpoints().remove(base::EndpointId("v1"), Loop_->now());
     Router_->endpointsChanged();
   } else {
-    Router_->streamsWritten({{"a1", base::PoolId("pool"), "v2", Loop_->now()}});
+    Router_->streamsWritten(
+        {{"a1", base::PoolId("pool"), Case.SecondVersion_ ? "v2" : "v1",
+          Loop_->now()}});
   }
   wait(1500ms);
   EXPECT_EQ(Body, AllEvents);
@@ -1858,6 +1862,10 @@
                     HeldStreamCase{.Name_ = "not_at_the_first_version",
                                    .SecondVersion_ = false,
                                    .Held_ = false},
+                    HeldStreamCase{.Name_ = "also_at_the_first_version_before_"
+                                            "the_table_is_read",
+                                   .SecondVersion_ = false,
+                                   .TableRead_ = false},
                     HeldStreamCase{.Name_ = "not_if_it_can_not_be_taken_up",
                                    .Resumable_ = false,
                                    .Held_ = false},
@@ -1893,6 +1901,59 @@
   EXPECT_EQ(Body, AllEvents);
 }
 
+/// A new stream at a router that has not read the table.
+struct UnreadTableCase {
+  std::string_view Name_;
+  std::vector<std::string> Versions_;
+  bool Resumable_ = true;
+  unsigned Status_ = 503;
+};
+
+std::ostream &operator<<(std::ostream &Out, const UnreadTableCase &Value) {
+  return Out << Value.Name_;
+}
+
+class UnreadTableTest : public VersionedStreamTest,
+                        public testing::WithParamInterface<UnreadTableCase> {};
+
+/// Guards against streams that are joined from two software versions because a
+/// router passes them on that can't read the table, and is killed.
+TEST_P(UnreadTableTest, RefusesNewStreamsThatCouldNotBeTakenUpSafely) {
+  const UnreadTableCase &Case = GetParam();
+  configure(RequestKind::Stream, Case.Resumable_);
+  Router_->onStreamLookup([](const std::string &, auto) {});
+  Router_->streams().setWritable(false);
+  for (const std::string &Each : Case.Versions_) {
+    Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
+    list(std::string(Each), Endpoints_.back()->address(), "here", Each);
+  }
+  *Script_ = {EndpointBehavior::CompleteStream};
+  CallerResponse Response = fetch(makeCall());
+  EXPECT_EQ(Response.Status_, Case.Status_);
+  if (Case.Status_ == 200)
+    return;
+  EXPECT_NE(Response.Body_.find("stream_table_unreachable"), std::string::npos);
+  EXPECT_TRUE(Response.Headers_.find("Retry-After"));
+  for (const auto &Each : Endpoints_)
+    EXPECT_TRUE(Each->Requests_.empty());
+  Router_->streams().setHistoryKnown();
+  Router_->streams().setWritable(true);
+  EXPECT_EQ(fetch(makeCall()).Status_, 200u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Streams, UnreadTableTest,
+    testing::Values(UnreadTableCase{.Name_ = "two_versions",
+                                    .Versions_ = {"v1", "v2"}},
+                    UnreadTableCase{.Name_ = "one_version",
+                                    .Versions_ = {"v1"},
+                                    .Status_ = 200},
+                    UnreadTableCase{.Name_ = "not_resumable",
+                                    .Versions_ = {"v1", "v2"},
+                                    .Resumable_ = false,
+                                    .Status_ = 200}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 /// What the table says when a caller takes up a stream that the router does not
 /// know, while it lists only v1.
 struct TakeUpLookupCase {
--- a/libs/base/include/camphorwind/base/reasons.h
+++ b/libs/base/include/camphorwind/base/reasons.h
@@ -45,6 +45,8 @@
   /// Requests that are being read or forwarded fill this host's memory.
   MemoryLimit,
   StreamUnknown,
+  /// A new stream can't be recorded, so that it could not be taken up safely.
+  StreamTableUnreachable,
   EndpointFailed,
   EndpointStalled,
   TicketLapsed,
--- a/libs/base/src/reasons.cpp
+++ b/libs/base/src/reasons.cpp
@@ -56,6 +56,8 @@
     return "bound_too_large";
   case RefusalReason::StreamUnknown:
     return "stream_unknown";
+  case RefusalReason::StreamTableUnreachable:
+    return "stream_table_unreachable";
   case RefusalReason::NoEndpoint:
     return "no_endpoint";
   case RefusalReason::Evacuated:
--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -48,7 +48,8 @@
 /// While one version serves in a pool, its streams are not written. Once
 /// another joins, a stream of that one is written before its first event is
 /// passed on, so that a stream that the table lacks is of the first version,
-/// even if the router that began it has stopped.
+/// even if the router that began it has stopped. A router that has not read the
+/// table does not know which version is the first, and writes all streams.
 class StreamVersions {
 public:
   /// Time for which streams and versions are remembered. A stream that began
@@ -134,6 +135,11 @@
   bool isHistoryComplete(base::TimePoint Now) const {
     return HistoryKnown_ || Now - StartedAt_ >= Lifetime;
   }
+  /// Whether this router has read the table, or has been running for so long
+  /// that what the table lost no longer counts.
+  bool isTableKnown(base::TimePoint Now) const {
+    return HistoryKnown_ || (OrderLostAt_ && Now - *OrderLostAt_ >= WriteTime);
+  }
   /// Returns the version that joined before all others seen within \p Span;
   /// nothing if that is not known.
   std::optional<std::string> firstVersion(const base::PoolId &Pool,
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -131,6 +131,8 @@
 bool StreamVersions::needsWriting(const base::PoolId &Pool,
                                   const std::string &Software,
                                   base::TimePoint Now) const {
+  if (!isTableKnown(Now))
+    return true;
   auto First = firstVersion(Pool, WriteTime, Now);
   return First && *First != Software;
 }
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -183,6 +183,44 @@
                               .Unwritten_ = "v1"}),
     [](const auto &Info) { return Info.param.Name_; });
 
+struct UnreadTableCase {
+  std::string Name_;
+  bool HistoryKnown_ = false;
+  std::chrono::seconds Uptime_{1};
+  bool NeedsWriting_ = true;
+};
+
+std::ostream &operator<<(std::ostream &Out, const UnreadTableCase &Value) {
+  return Out << Value.Name_;
+}
+
+class UnreadTableTest : public testing::TestWithParam<UnreadTableCase> {};
+
+/// Guards against a router that has not read the table, passes on streams that
+/// it does not write, and is killed: others take them for streams of the first
+/// version.
+TEST_P(UnreadTableTest, StreamsOfAllVersionsNeedWriting) {
+  const UnreadTableCase &Case = GetParam();
+  StreamVersions Streams(Start);
+  base::TimePoint Now = Start + Case.Uptime_;
+  Streams.markListed(Pool, "v1", Now - 5s);
+  Streams.markListed(Pool, "v2", Now);
+  if (Case.HistoryKnown_)
+    Streams.setHistoryKnown();
+  EXPECT_EQ(Streams.needsWriting(Pool, "v1", Now), Case.NeedsWriting_);
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v2", Now));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Tables, UnreadTableTest,
+    testing::Values(UnreadTableCase{.Name_ = "not_read"},
+                    UnreadTableCase{.Name_ = "not_read_for_long",
+                                    .Uptime_ = StreamVersions::WriteTime + 1s},
+                    UnreadTableCase{.Name_ = "read",
+                                    .HistoryKnown_ = true,
+                                    .NeedsWriting_ = false}),
+    [](const auto &Info) { return Info.param.Name_; });
+
 /// Guards against routers that disagree about the time at which a version has
 /// left: one assumes the next version while another does not write its streams.
 TEST(StreamVersionsTest, StreamsAreWrittenForLongerThanTheFirstIsAssumed) {
