Hold streams while routers may see the order of versions differently

A router that has seen two versions join within a second knows no order, and held back no first events; another one that saw them a little further apart takes streams that the table lacks for those of the first version. All routers wrote their ranks to the same rows, the last one counting, so that neither learned of it. If a router without an order was killed before it had written a stream of the second version, the stream went on at the first (ORDER).

Change: without an order, streams need writing until the table says that there is none. A router without an order states that in version rows of its own, which others don't replace; whoever reads them assumes nothing either. After that, nothing is held back, also while the table is away, for 30 s from the write: for that long others count the versions that it names.

VersionOrderTest asks in addition that streams need writing before the versions are written: it took the lack of an order for a reason to write nothing.

--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -49,7 +49,9 @@
 /// another joins, a stream of that one is written before its first event is
 /// passed on, so that a stream that the table lacks is of the first version,
 /// even if the router that began it has stopped. A router that has not read the
-/// table does not know which version is the first, and writes all streams.
+/// table does not know which version is the first, and writes all streams. If
+/// no order is known, nothing is assumed of streams that the table lacks; a
+/// router relies on that once the table says so.
 class StreamVersions {
 public:
   /// Time for which streams and versions are remembered. A stream that began
@@ -89,6 +91,8 @@
   /// after the stream has broken off, lacks; nothing if that may be several.
   std::optional<std::string> versionOfUnwritten(const base::PoolId &Pool,
                                                 base::TimePoint Now) const;
+  /// Whether one version joined before all others that have served lately.
+  bool isOrdered(const base::PoolId &Pool, base::TimePoint Now) const;
   /// Whether a stream of this version must be in the table before its first
   /// event is passed on.
   bool needsWriting(const base::PoolId &Pool, const std::string &Software,
@@ -108,6 +112,10 @@
   bool writable() const { return Writable_; }
 
   std::vector<PoolVersion> versions() const;
+  /// Notes that the table has these versions with these ranks, and that no
+  /// other router replaces that, by a write that began at \p At.
+  void markVersionsWritten(const std::vector<PoolVersion> &Written,
+                           base::TimePoint At);
   /// Forgets what is older than Lifetime.
   void sweep(base::TimePoint Now);
 
@@ -129,6 +137,10 @@
     base::TimePoint LastSeenAt_{};
     std::uint32_t Rank_ = 0;
     bool FromTable_ = false;
+    /// Rank that the table has for good by a write of this router, and when
+    /// that began.
+    std::optional<std::uint32_t> WrittenRank_{};
+    base::TimePoint WrittenAt_{};
   };
   using Versions = std::map<std::string, Version>;
 
@@ -140,6 +152,10 @@
   bool isTableKnown(base::TimePoint Now) const {
     return HistoryKnown_ || (OrderLostAt_ && Now - *OrderLostAt_ >= WriteTime);
   }
+  /// Returns the versions that joined before all others seen within \p Span.
+  std::vector<const std::pair<const std::string, Version> *>
+  earliest(const base::PoolId &Pool, base::Duration Span,
+           base::TimePoint Now) const;
   /// Returns the version that joined before all others seen within \p Span;
   /// nothing if that is not known.
   std::optional<std::string> firstVersion(const base::PoolId &Pool,
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -15,7 +15,7 @@
     Known->second.LastSeenAt_ = Now;
     return;
   }
-  Version Joined{Now, Now, 0, false};
+  Version Joined{.FirstSeenAt_ = Now, .LastSeenAt_ = Now};
   for (const auto &[Other, Each] : Seen) {
     bool HasLead = Each.FromTable_ || Now - Each.FirstSeenAt_ >= MinLead;
     Joined.Rank_ = std::max(Joined.Rank_, Each.Rank_ + (HasLead ? 1U : 0U));
@@ -25,8 +25,10 @@
 
 void StreamVersions::addVersion(const PoolVersion &Seen) {
   auto [Found, New] = Versions_[Seen.Pool_].try_emplace(
-      Seen.Software_,
-      Version{Seen.LastSeenAt_, Seen.LastSeenAt_, Seen.Rank_, true});
+      Seen.Software_, Version{.FirstSeenAt_ = Seen.LastSeenAt_,
+                              .LastSeenAt_ = Seen.LastSeenAt_,
+                              .Rank_ = Seen.Rank_,
+                              .FromTable_ = true});
   if (New)
     return;
   Version &Known = Found->second;
@@ -56,8 +58,10 @@
 void StreamVersions::forgetOrder(base::TimePoint Now) {
   OrderLostAt_ = Now;
   for (auto &[Pool, Seen] : Versions_)
-    for (auto &[Software, Each] : Seen)
+    for (auto &[Software, Each] : Seen) {
       Each.Rank_ = 0;
+      Each.WrittenRank_.reset();
+    }
 }
 
 void StreamVersions::sent(StreamOrigin Origin) {
@@ -104,22 +108,37 @@
   return Known == Streams_.end() ? nullptr : &Known->second.Origin_;
 }
 
+std::vector<const std::pair<const std::string, StreamVersions::Version> *>
+StreamVersions::earliest(const base::PoolId &Pool, base::Duration Span,
+                         base::TimePoint Now) const {
+  std::vector<const Versions::value_type *> Found;
+  auto Seen = Versions_.find(Pool);
+  if (Seen == Versions_.end())
+    return Found;
+  for (const auto &Each : Seen->second) {
+    if (Now - Each.second.LastSeenAt_ >= Span)
+      continue;
+    if (!Found.empty() && Each.second.Rank_ < Found.front()->second.Rank_)
+      Found.clear();
+    if (Found.empty() || Each.second.Rank_ == Found.front()->second.Rank_)
+      Found.push_back(&Each);
+  }
+  return Found;
+}
+
 std::optional<std::string>
 StreamVersions::firstVersion(const base::PoolId &Pool, base::Duration Span,
                              base::TimePoint Now) const {
-  auto Found = Versions_.find(Pool);
-  if (Found == Versions_.end() || !isHistoryComplete(Now))
+  auto Earliest = earliest(Pool, Span, Now);
+  if (Earliest.size() != 1 || !isHistoryComplete(Now))
     return std::nullopt;
-  std::map<std::uint32_t, std::vector<const std::string *>> ByRank;
-  for (const auto &[Software, Each] : Found->second)
-    if (Now - Each.LastSeenAt_ < Span)
-      ByRank[Each.Rank_].push_back(&Software);
-  if (ByRank.empty() || ByRank.begin()->second.size() > 1)
-    return std::nullopt;
-  bool OrderLost = OrderLostAt_ && Now - *OrderLostAt_ < WriteTime;
-  if (ByRank.size() > 1 && OrderLost)
+  const Versions &Seen = Versions_.at(Pool);
+  bool IsOnly = std::none_of(Seen.begin(), Seen.end(), [&](const auto &Each) {
+    return &Each != Earliest.front() && Now - Each.second.LastSeenAt_ < Span;
+  });
+  if (!IsOnly && OrderLostAt_ && Now - *OrderLostAt_ < WriteTime)
     return std::nullopt;
-  return *ByRank.begin()->second.front();
+  return Earliest.front()->first;
 }
 
 std::optional<std::string>
@@ -128,13 +147,25 @@
   return firstVersion(Pool, Lifetime, Now);
 }
 
+bool StreamVersions::isOrdered(const base::PoolId &Pool,
+                               base::TimePoint Now) const {
+  return earliest(Pool, WriteTime, Now).size() <= 1;
+}
+
 bool StreamVersions::needsWriting(const base::PoolId &Pool,
                                   const std::string &Software,
                                   base::TimePoint Now) const {
   if (!isTableKnown(Now))
     return true;
-  auto First = firstVersion(Pool, WriteTime, Now);
-  return First && *First != Software;
+  auto Earliest = earliest(Pool, WriteTime, Now);
+  if (Earliest.size() == 1)
+    return Earliest.front()->first != Software;
+  // Routers that read these ranks assume nothing, for as long as the versions
+  // count for them.
+  return std::any_of(Earliest.begin(), Earliest.end(), [Now](const auto *Each) {
+    return Each->second.WrittenRank_ != Each->second.Rank_ ||
+           Now - Each->second.WrittenAt_ >= WriteTime - Lifetime;
+  });
 }
 
 bool StreamVersions::isWritten(const std::string &Attempt) const {
@@ -198,6 +229,20 @@
   return All;
 }
 
+void StreamVersions::markVersionsWritten(
+    const std::vector<PoolVersion> &Written, base::TimePoint At) {
+  for (const PoolVersion &Each : Written) {
+    auto Seen = Versions_.find(Each.Pool_);
+    if (Seen == Versions_.end())
+      continue;
+    auto Known = Seen->second.find(Each.Software_);
+    if (Known == Seen->second.end())
+      continue;
+    Known->second.WrittenRank_ = Each.Rank_;
+    Known->second.WrittenAt_ = At;
+  }
+}
+
 void StreamVersions::sweep(base::TimePoint Now) {
   while (!Order_.empty() &&
          Now - Streams_.at(Order_.front()).Origin_.BeganAt_ >= Lifetime) {
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -139,6 +139,8 @@
   if (Case.OrderLost_)
     Streams.forgetOrder(Now);
   EXPECT_EQ(Streams.versionOfUnwritten(Pool, Now), Case.Unwritten_);
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v9", Now));
+  Streams.markVersionsWritten(Streams.versions(), Now);
   EXPECT_EQ(Streams.needsWriting(Pool, "v9", Now), Case.Unwritten_.has_value());
 }
 
@@ -221,6 +223,28 @@
                                     .NeedsWriting_ = false}),
     [](const auto &Info) { return Info.param.Name_; });
 
+/// Guards against a router that does not know which version joined first, and
+/// relies on others that know more. What it has written counts for as long as
+/// others see it.
+TEST(StreamVersionsTest, UnorderedVersionsCountOnceTheTableHasThem) {
+  StreamVersions Streams(Start);
+  Streams.setHistoryKnown();
+  Streams.markListed(Pool, "v1", Start);
+  Streams.markListed(Pool, "v2", Start + 100ms);
+  EXPECT_FALSE(Streams.isOrdered(Pool, Start + 100ms));
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v1", Start + 100ms));
+  Streams.markVersionsWritten({{Pool, "v1", Start, 0}}, Start + 100ms);
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v1", Start + 100ms));
+  Streams.markVersionsWritten({{Pool, "v2", Start, 0}}, Start + 100ms);
+  EXPECT_FALSE(Streams.needsWriting(Pool, "v1", Start + 29s));
+  EXPECT_FALSE(Streams.needsWriting(Pool, "v2", Start + 29s));
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v2", Start + 31s));
+  Streams.markVersionsWritten(Streams.versions(), Start + 31s);
+  EXPECT_FALSE(Streams.needsWriting(Pool, "v2", Start + 31s));
+  Streams.forgetOrder(Start + 31s);
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v2", Start + 31s));
+}
+
 /// Guards against routers that disagree about the time at which a version has
 /// left: one assumes the next version while another does not write its streams.
 TEST(StreamVersionsTest, StreamsAreWrittenForLongerThanTheFirstIsAssumed) {
