Look a stream up in the table whenever another router began it

Cause: that router had read the table for another stream after the first send, and did not read it again. What was read says where an attempt was sent so far, not where its stream began.

Change: unless this router began the stream itself, the table is read after the request has arrived, as for streams that are not known at all. If that fails, the caller is refused as not run, also if an earlier read had the stream.

TakeUpLookupTest: sent_to_this_version_since, sent_to_other_version_since and read_before_and_not_now fail before and hold now.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -180,7 +180,13 @@
 
 bool ForwardedRequest::resolveStream() {
   if (Route_->Kind_ != RequestKind::Stream ||
-      RequestMetadata_.LastEventId_.value_or(0) == 0 || useStreamOrigin())
+      RequestMetadata_.LastEventId_.value_or(0) == 0)
+    return true;
+  // What was read of another router's stream may be out of date: its attempt
+  // may have been sent to another version since.
+  bool IsKnown = !Context_.FindStream_ ||
+                 Context_.Streams_.isOwn(RequestMetadata_.ResumedAttempt_);
+  if (IsKnown && useStreamOrigin())
     return true;
   if (!Context_.FindStream_) {
     if (assumeFirstVersion())
@@ -224,7 +230,7 @@
   if (Finished_)
     return;
   // Without the table, this router can't tell which versions have joined.
-  bool IsInTable = useStreamOrigin();
+  bool IsInTable = TableRead && useStreamOrigin();
   if (!IsInTable && !(TableRead && assumeFirstVersion())) {
     refuse(RefusalReason::StreamUnknown, StreamRetryAfter);
     return;
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1959,6 +1959,8 @@
 struct TakeUpLookupCase {
   std::string_view Name_;
   bool TableRead_ = true;
+  /// Version that had begun the stream when the table was read before.
+  std::string_view BegunBefore_;
   /// Version that, by the table, has served beside v1.
   std::string_view OtherVersion_;
   /// Version that, by the table, has begun the stream.
@@ -1975,20 +1977,24 @@
 };
 
 /// Guards against a router that was cut off or stood still, and takes the only
-/// version that it has heard of for that of a stream begun elsewhere.
+/// version that it has heard of for that of a stream begun elsewhere, or one
+/// that it has read before the stream was sent to another version.
 TEST_P(TakeUpLookupTest, UnknownStreamGoesOnOnlyByTheTable) {
   const TakeUpLookupCase &Case = GetParam();
   configure(RequestKind::Stream, true);
   FakeEndpoint &Endpoint = addEndpoint({EndpointBehavior::CompleteStream});
   const base::PoolId Pool("pool");
   Router_->streams().setHistoryKnown();
+  if (!Case.BegunBefore_.empty())
+    Router_->streams().add(
+        {"a1", Pool, std::string(Case.BegunBefore_), Loop_->now(), 1});
   Router_->onStreamLookup([&](const std::string &Attempt, auto OnEnd) {
     if (!Case.OtherVersion_.empty())
       Router_->streams().addVersion(
           {Pool, std::string(Case.OtherVersion_), Loop_->now()});
     if (!Case.BegunBy_.empty())
       Router_->streams().add(
-          {Attempt, Pool, std::string(Case.BegunBy_), Loop_->now()});
+          {Attempt, Pool, std::string(Case.BegunBy_), Loop_->now(), 2});
     OnEnd(Case.TableRead_);
   });
   net::OriginRequest TakeUp = makeCall();
@@ -2012,6 +2018,16 @@
                                      .OtherVersion_ = "v2",
                                      .BegunBy_ = "v1",
                                      .Status_ = 200},
+                    TakeUpLookupCase{.Name_ = "sent_to_this_version_since",
+                                     .BegunBefore_ = "v2",
+                                     .BegunBy_ = "v1",
+                                     .Status_ = 200},
+                    TakeUpLookupCase{.Name_ = "sent_to_other_version_since",
+                                     .BegunBefore_ = "v1",
+                                     .BegunBy_ = "v2"},
+                    TakeUpLookupCase{.Name_ = "read_before_and_not_now",
+                                     .TableRead_ = false,
+                                     .BegunBefore_ = "v1"},
                     TakeUpLookupCase{.Name_ = "one_version", .Status_ = 200}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -87,6 +87,8 @@
   /// Returns the stream that \p Attempt began, or null. Valid until the next
   /// call that is not const.
   const StreamOrigin *find(const std::string &Attempt) const;
+  /// Whether this router began the stream.
+  bool isOwn(const std::string &Attempt) const;
   /// Returns the version that began a stream of the pool which the table, read
   /// after the stream has broken off, lacks; nothing if that may be several.
   std::optional<std::string> versionOfUnwritten(const base::PoolId &Pool,
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -108,6 +108,11 @@
   return Known == Streams_.end() ? nullptr : &Known->second.Origin_;
 }
 
+bool StreamVersions::isOwn(const std::string &Attempt) const {
+  auto Known = Streams_.find(Attempt);
+  return Known != Streams_.end() && Known->second.Own_;
+}
+
 std::vector<const std::pair<const std::string, StreamVersions::Version> *>
 StreamVersions::earliest(const base::PoolId &Pool, base::Duration Span,
                          base::TimePoint Now) const {
