Assume no version of streams while some were dropped for want of room

One that had been dropped, but stood in the table, counted as a stream of the first version (ORDER). At 350 routers, a pool with several versions may have more streams in a minute.

Change: if several versions serve, nothing is assumed until the dropped streams no longer count; their callers are refused as not run.

NothingIsAssumedWhileStreamsAreDropped fails before and holds now.

--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -154,6 +154,9 @@
   bool isTableKnown(base::TimePoint Now) const {
     return HistoryKnown_ || (OrderLostAt_ && Now - *OrderLostAt_ >= WriteTime);
   }
+  /// Whether no other version of the pool was seen within \p Span.
+  bool isAlone(const base::PoolId &Pool, const std::string &Software,
+               base::Duration Span, base::TimePoint Now) const;
   /// Returns the versions that joined before all others seen within \p Span.
   std::vector<const std::pair<const std::string, Version> *>
   earliest(const base::PoolId &Pool, base::Duration Span,
@@ -175,6 +178,8 @@
   std::unordered_map<std::string, Stream> Streams_;
   /// Attempts in the order in which they were noted.
   std::deque<std::string> Order_;
+  /// When the latest of the streams began that were dropped for want of room.
+  std::optional<base::TimePoint> DroppedBeganAt_;
   /// Attempts of this router whose streams the table lacks.
   std::vector<std::string> Unwritten_;
   std::map<base::PoolId, Versions> Versions_;
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -99,7 +99,10 @@
   Order_.push_back(std::move(Attempt));
   if (Order_.size() <= MaxStreams)
     return;
-  Streams_.erase(Order_.front());
+  auto Dropped = Streams_.find(Order_.front());
+  DroppedBeganAt_ = std::max(DroppedBeganAt_,
+                             std::optional(Dropped->second.Origin_.BeganAt_));
+  Streams_.erase(Dropped);
   Order_.pop_front();
 }
 
@@ -137,19 +140,34 @@
   auto Earliest = earliest(Pool, Span, Now);
   if (Earliest.size() != 1 || !isHistoryComplete(Now))
     return std::nullopt;
-  const Versions &Seen = Versions_.at(Pool);
-  bool IsOnly = std::none_of(Seen.begin(), Seen.end(), [&](const auto &Each) {
-    return &Each != Earliest.front() && Now - Each.second.LastSeenAt_ < Span;
-  });
-  if (!IsOnly && OrderLostAt_ && Now - *OrderLostAt_ < WriteTime)
+  const std::string &First = Earliest.front()->first;
+  if (OrderLostAt_ && Now - *OrderLostAt_ < WriteTime &&
+      !isAlone(Pool, First, Span, Now))
     return std::nullopt;
-  return Earliest.front()->first;
+  return First;
+}
+
+bool StreamVersions::isAlone(const base::PoolId &Pool,
+                             const std::string &Software, base::Duration Span,
+                             base::TimePoint Now) const {
+  auto Seen = Versions_.find(Pool);
+  return Seen == Versions_.end() ||
+         std::none_of(Seen->second.begin(), Seen->second.end(),
+                      [&](const auto &Each) {
+                        return Each.first != Software &&
+                               Now - Each.second.LastSeenAt_ < Span;
+                      });
 }
 
 std::optional<std::string>
 StreamVersions::versionOfUnwritten(const base::PoolId &Pool,
                                    base::TimePoint Now) const {
-  return firstVersion(Pool, Lifetime, Now);
+  auto First = firstVersion(Pool, Lifetime, Now);
+  // A stream that was dropped may be of any version.
+  if (First && DroppedBeganAt_ && Now - *DroppedBeganAt_ < Lifetime &&
+      !isAlone(Pool, *First, Lifetime, Now))
+    return std::nullopt;
+  return First;
 }
 
 bool StreamVersions::isOrdered(const base::PoolId &Pool,
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -314,6 +314,23 @@
   EXPECT_EQ(Others.find("a1")->Software_, "v1");
 }
 
+/// Guards against a stream that was dropped for want of room, taken for one of
+/// the first version.
+TEST(StreamVersionsTest, NothingIsAssumedWhileStreamsAreDropped) {
+  StreamVersions Streams(Start);
+  Streams.setHistoryKnown();
+  Streams.markListed(Pool, "v1", Start);
+  for (std::size_t Index = 0; Index <= StreamVersions::MaxStreams; ++Index)
+    Streams.add({std::to_string(Index), Pool, "v2", Start});
+  EXPECT_EQ(Streams.versionOfUnwritten(Pool, Start), "v1");
+  Streams.markListed(Pool, "v2", Start + 5s);
+  EXPECT_EQ(Streams.versionOfUnwritten(Pool, Start + 5s), std::nullopt);
+  base::TimePoint Later = Start + StreamVersions::Lifetime;
+  Streams.markListed(Pool, "v1", Later);
+  Streams.markListed(Pool, "v2", Later);
+  EXPECT_EQ(Streams.versionOfUnwritten(Pool, Later), "v1");
+}
+
 TEST(StreamVersionsTest, OldAndExcessStreamsAreForgotten) {
   StreamVersions Streams(Start);
   for (std::size_t Index = 0; Index <= StreamVersions::MaxStreams; ++Index)
