--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -35,8 +35,9 @@
 /// Retry-After when only other routers hold enough tokens: the time in which
 /// they return tokens that they do not need.
 constexpr milliseconds TokensElsewhereRetryAfter = 1500ms;
-/// Retry-After when it is not known which version began a stream: the time in
-/// which the router that knows writes it to the table.
+/// Retry-After when it is not known which version began a stream, or a new
+/// stream can't be written: the time in which a router that knows the stream
+/// writes it to the table.
 constexpr milliseconds StreamRetryAfter = 300ms;
 /// Maximum number of attempts per request, including those that reached no
 /// endpoint.
--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -49,9 +49,10 @@
 /// another joins, a stream of that one is written before its first event is
 /// passed on, so that a stream that the table lacks is of the first version,
 /// even if the router that began it has stopped. A router that has not read the
-/// table does not know which version is the first, and writes all streams. If
-/// no order is known, nothing is assumed of streams that the table lacks; a
-/// router relies on that once the table says so.
+/// table does not know which version is the first; its streams are all written.
+/// So are those of a router that knows no order, until the table says that
+/// there is none: from then on, nothing is assumed of streams that the table
+/// lacks.
 class StreamVersions {
 public:
   /// Time for which streams and versions are remembered. A stream that began
@@ -114,8 +115,8 @@
   bool writable() const { return Writable_; }
 
   std::vector<PoolVersion> versions() const;
-  /// Notes that the table has these versions with these ranks, and that no
-  /// other router replaces that, by a write that began at \p At.
+  /// Notes that a write that began at \p At has brought these versions to the
+  /// table, in rows that no other router writes.
   void markVersionsWritten(const std::vector<PoolVersion> &Written,
                            base::TimePoint At);
   /// Forgets what is older than Lifetime.
@@ -129,18 +130,18 @@
     bool Own_ = false;
     /// Whether Unwritten_ names the stream.
     bool Queued_ = false;
-    /// Whether the stream was ever taken to be written.
-    bool Taken_ = false;
-    /// Whether it was taken under another version before.
-    bool TakenBefore_ = false;
+    /// Whether takeUnwritten() has ever returned the stream.
+    bool WasTaken_ = false;
+    /// Whether it has returned the stream under another version.
+    bool HadOtherVersion_ = false;
   };
   struct Version {
     base::TimePoint FirstSeenAt_{};
     base::TimePoint LastSeenAt_{};
     std::uint32_t Rank_ = 0;
     bool FromTable_ = false;
-    /// Rank that the table has for good by a write of this router, and when
-    /// that began.
+    /// Rank in a row of the table that only this router writes, and when the
+    /// write began.
     std::optional<std::uint32_t> WrittenRank_{};
     base::TimePoint WrittenAt_{};
   };
@@ -149,8 +150,8 @@
   bool isHistoryComplete(base::TimePoint Now) const {
     return HistoryKnown_ || Now - StartedAt_ >= Lifetime;
   }
-  /// Whether this router has read the table, or has been running for so long
-  /// that what the table lost no longer counts.
+  /// Whether this router has read the table. If the table had lost rows by
+  /// then, they count for some time.
   bool isTableKnown(base::TimePoint Now) const {
     return HistoryKnown_ || (OrderLostAt_ && Now - *OrderLostAt_ >= WriteTime);
   }
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -74,8 +74,8 @@
   Stream &Known = Found->second;
   if (!std::exchange(Known.Queued_, true))
     Unwritten_.push_back(Origin.Attempt_);
-  Known.TakenBefore_ |=
-      Known.Taken_ && Known.Origin_.Software_ != Origin.Software_;
+  Known.HadOtherVersion_ |=
+      Known.WasTaken_ && Known.Origin_.Software_ != Origin.Software_;
   Known.Origin_ = std::move(Origin);
   Known.Written_ = false;
   Known.Own_ = true;
@@ -198,7 +198,7 @@
 
 bool StreamVersions::mayBeTakenForAnother(const std::string &Attempt) const {
   auto Known = Streams_.find(Attempt);
-  return Known != Streams_.end() && Known->second.TakenBefore_ &&
+  return Known != Streams_.end() && Known->second.HadOtherVersion_ &&
          !Known->second.Written_;
 }
 
@@ -228,7 +228,7 @@
     if (!Ambiguous[Each.Origin_.Pool_])
       return false;
     Each.Queued_ = false;
-    Each.Taken_ = true;
+    Each.WasTaken_ = true;
     Taken.push_back(Each.Origin_);
     return true;
   });
