--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -470,15 +470,19 @@
          !Software_;
 }
 
-bool ForwardedRequest::mustHold() const {
-  const std::string &Software = Attempt_.Target_.SoftwareVersion_;
+bool ForwardedRequest::mayBeMistaken() const {
   const StreamVersions &Streams = Context_.Streams_;
-  if (!Context_.FindStream_ || !isNewResumable() ||
-      Streams.isWritten(RequestMetadata_.AttemptId_))
-    return false;
-  if (!Streams.needsWriting(Pool_, Software, Context_.Loop_.now()) &&
-      !Streams.mayBeTakenForAnother(RequestMetadata_.AttemptId_))
+  const std::string &Id = RequestMetadata_.AttemptId_;
+  return Context_.FindStream_ && isNewResumable() && !Streams.isWritten(Id) &&
+         (Streams.needsWriting(Pool_, Attempt_.Target_.SoftwareVersion_,
+                               Context_.Loop_.now()) ||
+          Streams.mayBeTakenForAnother(Id));
+}
+
+bool ForwardedRequest::mustHold() const {
+  if (!mayBeMistaken())
     return false;
+  const std::string &Software = Attempt_.Target_.SoftwareVersion_;
   const auto &Usable = Context_.Endpoints_.usable();
   return std::any_of(Usable.begin(), Usable.end(), [&](const auto &Each) {
     return Each.second.Pool_ == Pool_ &&
@@ -486,6 +490,21 @@
   });
 }
 
+void ForwardedRequest::logIfUnrecorded() const {
+  if (!mayBeMistaken())
+    return;
+  Context_.Metrics_.count("streams_started_unrecorded", "while",
+                          AttemptActive_ ? "in_progress" : "whole");
+  observe::log(
+      LogLevel::Info, "stream_started_unrecorded",
+      {{"request", RequestMetadata_.AttemptId_},
+       {"software", Attempt_.Target_.SoftwareVersion_},
+       {"whole", !AttemptActive_},
+       {"other_version_usable", mustHold()},
+       {"table_writable", Context_.Streams_.writable()},
+       {"after_ms", toMilliseconds(Context_.Loop_.now() - Attempt_.SentAt_)}});
+}
+
 routing::PlacementRequest ForwardedRequest::makePlacementRequest(
     std::span<const base::EndpointId> Excluded) const {
   routing::PlacementRequest PlacementRequest;
@@ -986,6 +1005,7 @@
 
 void ForwardedRequest::passOn(const std::string &Events) {
   if (!StreamStarted_) {
+    logIfUnrecorded();
     StreamStarted_ = true;
     FirstByteAt_ = Context_.Loop_.now();
     // A stream that was taken up goes on as the attempt that began it.
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -170,9 +170,14 @@
   void passOn(const std::string &Events);
   /// Whether the caller may take the stream up elsewhere once it has an event.
   bool isNewResumable() const;
+  /// Whether a router that reads the table could take the stream for one of
+  /// another version.
+  bool mayBeMistaken() const;
   /// Whether a caller that takes the stream up elsewhere could be sent to an
   /// endpoint of another version, as the table lacks the stream.
   bool mustHold() const;
+  /// Logs that the stream starts although mayBeMistaken().
+  void logIfUnrecorded() const;
   /// The software versions of the pool's usable endpoints, each with whether
   /// its streams have to be written to the table.
   using VersionNeeds = std::map<std::string, bool>;
