Hold a whole stream until the table has it

A stream of a later version whose response ended while it was held back was passed on unwritten. If its router then stopped before the caller had all of it, other routers took it for one of the first version.

Now it waits for the write, until 100 ms before its deadline, or the end of the process. HeldStreamTest (whole_until_written and whole_until_no_other_version_serves), WholeStreamIsPassedOnBeforeItsDeadline and WholeStreamIsPassedOnBeforeTheProcessEnds failed before.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -44,6 +44,9 @@
 constexpr unsigned MaxSends = 4;
 /// A request with less time left is not retried.
 constexpr milliseconds MinTimeForRetry = 50ms;
+/// Time before the deadline at which a whole stream is passed on although it is
+/// not written to the table.
+constexpr milliseconds WholeStreamMargin = 100ms;
 /// Unsent bytes of a stream to a slow caller above which reading from the
 /// endpoint is paused.
 constexpr std::size_t MaxBufferedBytes = 256UL * 1024;
@@ -993,8 +996,12 @@
 
 void ForwardedRequest::passOnHeldEvents() {
   // A comment alone does not start a stream.
-  if (HeldEvents_.empty() || !hasEvents() || mustHold())
+  if (Finished_ || HeldEvents_.empty() || !hasEvents() || mustHold())
     return;
+  if (WholeStreamRest_) {
+    endStream();
+    return;
+  }
   // A successor would begin anew.
   dropSuccessor(routing::FailureKind::Cancelled);
   bool WasPaused = HeldEvents_.size() > MaxBufferedBytes;
@@ -1133,14 +1140,21 @@
     return;
   }
   recordSuccess();
+  WholeStreamRest_ = std::move(*Remainder);
+  if (!hasEvents() || !mustHold())
+    endStream();
+}
+
+void ForwardedRequest::endStream() {
+  std::string Rest = *std::exchange(WholeStreamRest_, std::nullopt);
   if (!HeldEvents_.empty())
     passOn(std::exchange(HeldEvents_, {}));
   if (!StreamStarted_) {
     StreamStarted_ = true;
     Exchange_->startStream(Attempt_.Status_, Attempt_.Headers_);
   }
-  if (!Remainder->empty())
-    Exchange_->write(*Remainder);
+  if (!Rest.empty())
+    Exchange_->write(Rest);
   Exchange_->endStream();
   finish("answered", Attempt_.Status_);
 }
@@ -1279,6 +1293,11 @@
 void ForwardedRequest::tick(base::TimePoint Now) {
   if (Finished_ || !Route_)
     return;
+  // A caller that loses its connection this late can't take the stream up.
+  if (WholeStreamRest_ && remainingTime(Now) < WholeStreamMargin) {
+    endStream();
+    return;
+  }
   if (Now >= Deadline_) {
     if (AttemptActive_) {
       Context_.Origins_.cancel(Attempt_.Call_);
@@ -1292,6 +1311,8 @@
     return;
   }
   passOnHeldEvents();
+  if (Finished_)
+    return;
   if (TokenWaitStart_)
     retryReservation();
   else if (AttemptActive_)
@@ -1353,6 +1374,10 @@
 void ForwardedRequest::onProcessEnd() {
   if (Finished_ || !Route_)
     return;
+  if (WholeStreamRest_) {
+    endStream();
+    return;
+  }
   if (AttemptActive_) {
     Context_.Origins_.cancel(Attempt_.Call_);
     AttemptActive_ = false;
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -216,6 +216,8 @@
   void onResponseComplete();
   /// Handles the end of a response that is a stream.
   void onStreamEnd();
+  /// Passes on what is left of a whole stream, and ends the request.
+  void endStream();
   /// Handles a whole response that does not go on with the stream.
   void onNotContinued();
   /// Handles an attempt that provably did not run the request.
@@ -329,6 +331,9 @@
   bool StreamStarted_ = false;
   /// Events received before the stream may start.
   std::string HeldEvents_;
+  /// What follows the last event of a stream whose response is whole; set while
+  /// its events are held.
+  std::optional<std::string> WholeStreamRest_;
   std::shared_ptr<ResponseCharge> Charge_;
   std::optional<base::TimePoint> FirstByteAt_;
   /// Why the last failed attempt was not repeated; empty if it was.
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1791,6 +1791,7 @@
   bool Resumable_ = true;
   bool Held_ = true;
   HoldEnd End_ = HoldEnd::Written;
+  EndpointBehavior Behavior_ = EndpointBehavior::SlowStream;
 };
 
 std::ostream &operator<<(std::ostream &Out, const HeldStreamCase &Value) {
@@ -1812,14 +1813,19 @@
   }
 
   /// Starts a call; \p Body gets what arrives of the answer's body.
-  void startCall(std::string &Body) {
+  void startCall(std::string &Body, std::chrono::milliseconds TimeLeft = 2s) {
     net::OriginEvents Events;
     Events.OnHead_ = [](const net::OriginHead &) {
       return net::HeadVerdict::Accept;
     };
     Events.OnBody_ = [&Body](std::string_view Data) { Body.append(Data); };
     Events.OnEnd_ = [](const base::Result<void, net::OriginError> &) {};
-    Caller_.start(makeCall(), std::move(Events));
+    net::OriginRequest Call = makeCall();
+    Call.Headers_ = {{"Host", "shop.example"},
+                     {"Authorization", "Bearer secret"},
+                     {"X-Attempt-Id", "a1"},
+                     {"X-Time-Left-Ms", std::to_string(TimeLeft.count())}};
+    Caller_.start(std::move(Call), std::move(Events));
   }
 };
 
@@ -1834,7 +1840,7 @@
   if (Case.TableRead_)
     Router_->streams().setHistoryKnown();
   Router_->onStreamLookup([](const std::string &, auto) {});
-  Script_->push_back(EndpointBehavior::SlowStream);
+  Script_->push_back(Case.Behavior_);
   listTwoVersions(Case.SecondVersion_ || !Case.TableWritable_);
   Router_->streams().setWritable(Case.TableWritable_);
   std::string Body;
@@ -1856,26 +1862,65 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Holds, HeldStreamTest,
-    testing::Values(HeldStreamCase{.Name_ = "until_written"},
-                    HeldStreamCase{.Name_ = "until_no_other_version_serves",
-                                   .End_ = HoldEnd::OtherVersionLeaves},
-                    HeldStreamCase{.Name_ = "not_at_the_first_version",
-                                   .SecondVersion_ = false,
-                                   .Held_ = false},
-                    HeldStreamCase{.Name_ = "also_at_the_first_version_before_"
-                                            "the_table_is_read",
-                                   .SecondVersion_ = false,
-                                   .TableRead_ = false},
-                    HeldStreamCase{.Name_ = "not_if_it_can_not_be_taken_up",
-                                   .Resumable_ = false,
-                                   .Held_ = false},
-                    HeldStreamCase{
-                        .Name_ = "first_version_while_the_table_is_away",
-                        .SecondVersion_ = false,
-                        .TableWritable_ = false,
-                        .Held_ = false}),
+    testing::Values(
+        HeldStreamCase{.Name_ = "until_written"},
+        HeldStreamCase{.Name_ = "until_no_other_version_serves",
+                       .End_ = HoldEnd::OtherVersionLeaves},
+        HeldStreamCase{.Name_ = "whole_until_written",
+                       .Behavior_ = EndpointBehavior::CompleteStream},
+        HeldStreamCase{.Name_ = "whole_until_no_other_version_serves",
+                       .End_ = HoldEnd::OtherVersionLeaves,
+                       .Behavior_ = EndpointBehavior::CompleteStream},
+        HeldStreamCase{.Name_ = "not_at_the_first_version",
+                       .SecondVersion_ = false,
+                       .Held_ = false},
+        HeldStreamCase{.Name_ = "also_at_the_first_version_before_"
+                                "the_table_is_read",
+                       .SecondVersion_ = false,
+                       .TableRead_ = false},
+        HeldStreamCase{.Name_ = "not_if_it_can_not_be_taken_up",
+                       .Resumable_ = false,
+                       .Held_ = false},
+        HeldStreamCase{.Name_ = "first_version_while_the_table_is_away",
+                       .SecondVersion_ = false,
+                       .TableWritable_ = false,
+                       .Held_ = false}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against whole streams that are withheld for good, or refused, because
+/// the table takes no writes.
+TEST_F(VersionedStreamTest, WholeStreamIsPassedOnBeforeItsDeadline) {
+  configure(RequestKind::Stream, true);
+  Router_->streams().setHistoryKnown();
+  Router_->onStreamLookup([](const std::string &, auto) {});
+  Script_->push_back(EndpointBehavior::CompleteStream);
+  listTwoVersions(true);
+  constexpr auto TimeLeft = 2s;
+  base::TimePoint Start = Loop_->now();
+  CallerResponse Response = fetch(makeCall());
+  EXPECT_EQ(Response.Status_, 200u);
+  EXPECT_TRUE(Response.Complete_);
+  EXPECT_EQ(Response.Body_, AllEvents);
+  EXPECT_GT(Loop_->now() - Start, TimeLeft - 300ms);
+  EXPECT_LT(Loop_->now() - Start, TimeLeft);
+}
+
+/// Guards against whole streams that a router withholds when it ends.
+TEST_F(VersionedStreamTest, WholeStreamIsPassedOnBeforeTheProcessEnds) {
+  configure(RequestKind::Stream, true, 5000ms);
+  Router_->streams().setHistoryKnown();
+  Router_->onStreamLookup([](const std::string &, auto) {});
+  Script_->push_back(EndpointBehavior::CompleteStream);
+  listTwoVersions(true);
+  std::string Body;
+  startCall(Body, 4s);
+  wait(200ms);
+  EXPECT_EQ(Body, "");
+  Router_->stop([] {});
+  wait(2s);
+  EXPECT_EQ(Body, AllEvents);
+}
+
 /// Guards against a stream of the first version that the table has as one of
 /// the second, to which it was sent before.
 TEST_F(VersionedStreamTest, StreamThatWasSentElsewhereBeforeStartsOnceWritten) {
