Hold a whole stream for a second at most

Callers give up on a response without events after 2 s, so a whole stream that waits for a table that takes no writes was lost. It is passed on after 1 s now, or 100 ms before its deadline, and not charged beyond the prompt if its caller leaves before. WholeStreamTest/patient failed before.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -44,8 +44,12 @@
 constexpr unsigned MaxSends = 4;
 /// A request with less time left is not retried.
 constexpr milliseconds MinTimeForRetry = 50ms;
+/// Longest time for which a whole stream waits to be written to the table.
+/// Allows for a slow write and a second one; callers give up on a response
+/// without events after 2 s.
+constexpr milliseconds MaxWholeStreamHold = 1000ms;
 /// Time before the deadline at which a whole stream is passed on although it is
-/// not written to the table.
+/// not written: two intervals of tick().
 constexpr milliseconds WholeStreamMargin = 100ms;
 /// Unsent bytes of a stream to a slow caller above which reading from the
 /// endpoint is paused.
@@ -473,7 +477,7 @@
          !Software_;
 }
 
-bool ForwardedRequest::mayBeMistaken() const {
+bool ForwardedRequest::isVersionUnrecorded() const {
   const StreamVersions &Streams = Context_.Streams_;
   const std::string &Id = RequestMetadata_.AttemptId_;
   return Context_.FindStream_ && isNewResumable() && !Streams.isWritten(Id) &&
@@ -483,7 +487,7 @@
 }
 
 bool ForwardedRequest::mustHold() const {
-  if (!mayBeMistaken())
+  if (!isVersionUnrecorded())
     return false;
   const std::string &Software = Attempt_.Target_.SoftwareVersion_;
   const auto &Usable = Context_.Endpoints_.usable();
@@ -494,7 +498,7 @@
 }
 
 void ForwardedRequest::logIfUnrecorded() const {
-  if (!mayBeMistaken())
+  if (!isVersionUnrecorded())
     return;
   Context_.Metrics_.count("streams_started_unrecorded", "while",
                           AttemptActive_ ? "in_progress" : "whole");
@@ -1113,6 +1117,10 @@
 void ForwardedRequest::recordFailure(routing::FailureKind Kind) {
   reportFailure(Attempt_, Kind);
   EventStream_.discardUnfinished();
+  discardHeldEvents();
+}
+
+void ForwardedRequest::discardHeldEvents() {
   if (HeldEvents_.empty())
     return;
   // The caller has no event yet, so that another endpoint can begin anew.
@@ -1141,10 +1149,16 @@
   }
   recordSuccess();
   WholeStreamRest_ = std::move(*Remainder);
-  if (!hasEvents() || !mustHold())
+  WholeStreamAt_ = Context_.Loop_.now();
+  if (!hasEvents() || !mustHold() || !mayHoldWhole(WholeStreamAt_))
     endStream();
 }
 
+bool ForwardedRequest::mayHoldWhole(base::TimePoint Now) const {
+  return Now - WholeStreamAt_ < MaxWholeStreamHold &&
+         remainingTime(Now) > WholeStreamMargin;
+}
+
 void ForwardedRequest::endStream() {
   std::string Rest = *std::exchange(WholeStreamRest_, std::nullopt);
   if (!HeldEvents_.empty())
@@ -1293,8 +1307,7 @@
 void ForwardedRequest::tick(base::TimePoint Now) {
   if (Finished_ || !Route_)
     return;
-  // A caller that loses its connection this late can't take the stream up.
-  if (WholeStreamRest_ && remainingTime(Now) < WholeStreamMargin) {
+  if (WholeStreamRest_ && !mayHoldWhole(Now)) {
     endStream();
     return;
   }
@@ -1396,6 +1409,8 @@
     recordFailure(routing::FailureKind::Cancelled);
     ++PossibleRuns_;
   }
+  // Only events that were delivered are charged.
+  discardHeldEvents();
   ConnectionEnd_ = net::toString(End);
   finish(net::isCallersOwn(End) ? "caller_gone" : "answer_lost", 0);
 }
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -170,13 +170,13 @@
   void passOn(const std::string &Events);
   /// Whether the caller may take the stream up elsewhere once it has an event.
   bool isNewResumable() const;
-  /// Whether a router that reads the table could take the stream for one of
+  /// Whether a router that reads the table could take the new stream for one of
   /// another version.
-  bool mayBeMistaken() const;
+  bool isVersionUnrecorded() const;
   /// Whether a caller that takes the stream up elsewhere could be sent to an
   /// endpoint of another version, as the table lacks the stream.
   bool mustHold() const;
-  /// Logs that the stream starts although mayBeMistaken().
+  /// Logs that the stream starts although isVersionUnrecorded().
   void logIfUnrecorded() const;
   /// The software versions of the pool's usable endpoints, each with whether
   /// its streams have to be written to the table.
@@ -216,8 +216,13 @@
   void onResponseComplete();
   /// Handles the end of a response that is a stream.
   void onStreamEnd();
+  /// Whether a whole stream may wait to be written to the table.
+  bool mayHoldWhole(base::TimePoint Now) const;
   /// Passes on what is left of a whole stream, and ends the request.
   void endStream();
+  /// Drops the events that the caller has not got, because the stream could not
+  /// start yet.
+  void discardHeldEvents();
   /// Handles a whole response that does not go on with the stream.
   void onNotContinued();
   /// Handles an attempt that provably did not run the request.
@@ -331,9 +336,11 @@
   bool StreamStarted_ = false;
   /// Events received before the stream may start.
   std::string HeldEvents_;
-  /// What follows the last event of a stream whose response is whole; set while
-  /// its events are held.
+  /// What follows the last event of a stream whose response is whole, until it
+  /// is passed on.
   std::optional<std::string> WholeStreamRest_;
+  /// When the response of the stream was whole.
+  base::TimePoint WholeStreamAt_{};
   std::shared_ptr<ResponseCharge> Charge_;
   std::optional<base::TimePoint> FirstByteAt_;
   /// Why the last failed attempt was not repeated; empty if it was.
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1887,24 +1887,51 @@
                        .Held_ = false}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
-/// Guards against whole streams that are withheld for good, or refused, because
-/// the table takes no writes.
-TEST_F(VersionedStreamTest, WholeStreamIsPassedOnBeforeItsDeadline) {
-  configure(RequestKind::Stream, true);
+/// How long the table takes no writes for a whole stream, and how long its
+/// caller waits.
+struct WholeStreamCase {
+  std::string_view Name_;
+  std::chrono::milliseconds TimeLeft_{4000};
+  /// Earliest and latest time at which the caller has the stream.
+  std::chrono::milliseconds Earliest_{0};
+  std::chrono::milliseconds Latest_{0};
+};
+
+std::ostream &operator<<(std::ostream &Out, const WholeStreamCase &Value) {
+  return Out << Value.Name_;
+}
+
+class WholeStreamTest : public VersionedStreamTest,
+                        public testing::WithParamInterface<WholeStreamCase> {};
+
+/// Guards against whole streams that are withheld until their callers give up,
+/// or refused, because the table takes no writes.
+TEST_P(WholeStreamTest, IsPassedOnWhileItsCallerWaits) {
+  const WholeStreamCase &Case = GetParam();
+  configure(RequestKind::Stream, true, 5000ms);
   Router_->streams().setHistoryKnown();
   Router_->onStreamLookup([](const std::string &, auto) {});
   Script_->push_back(EndpointBehavior::CompleteStream);
   listTwoVersions(true);
-  constexpr auto TimeLeft = 2s;
-  base::TimePoint Start = Loop_->now();
-  CallerResponse Response = fetch(makeCall());
-  EXPECT_EQ(Response.Status_, 200u);
-  EXPECT_TRUE(Response.Complete_);
-  EXPECT_EQ(Response.Body_, AllEvents);
-  EXPECT_GT(Loop_->now() - Start, TimeLeft - 300ms);
-  EXPECT_LT(Loop_->now() - Start, TimeLeft);
+  std::string Body;
+  startCall(Body, Case.TimeLeft_);
+  wait(Case.Earliest_);
+  EXPECT_EQ(Body, "");
+  wait(Case.Latest_ - Case.Earliest_);
+  EXPECT_EQ(Body, AllEvents);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Callers, WholeStreamTest,
+    testing::Values(WholeStreamCase{.Name_ = "patient",
+                                    .Earliest_ = 800ms,
+                                    .Latest_ = 1700ms},
+                    WholeStreamCase{.Name_ = "deadline_is_near",
+                                    .TimeLeft_ = 700ms,
+                                    .Earliest_ = 300ms,
+                                    .Latest_ = 700ms}),
+    [](const auto &Info) { return std::string(Info.param.Name_); });
+
 /// Guards against whole streams that a router withholds when it ends.
 TEST_F(VersionedStreamTest, WholeStreamIsPassedOnBeforeTheProcessEnds) {
   configure(RequestKind::Stream, true, 5000ms);
