End the attempt beside a stream that is whole

While a whole stream was held, an attempt that had been sent beside it as it stalled went on, and could replace it or add events. WholeStreamEndsTheAttemptBesideIt failed before.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -1148,6 +1148,8 @@
     return;
   }
   recordSuccess();
+  // The stream is whole; a successor would begin it anew.
+  dropSuccessor(routing::FailureKind::Cancelled);
   WholeStreamRest_ = std::move(*Remainder);
   WholeStreamAt_ = Context_.Loop_.now();
   if (!hasEvents() || !mustHold() || !mayHoldWhole(WholeStreamAt_))
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -71,6 +71,8 @@
   SilentUntilAbort,
   /// Falls silent before it completes a stream.
   SilentUntilStream,
+  /// Falls silent after the last event of a stream, then ends it.
+  SilentBeforeEnd,
   /// Falls silent, then says that it has not run the request.
   SilentUntilRefusal,
   /// Falls silent, then fails.
@@ -222,6 +224,13 @@
           Loop_, [this, Exchange] { sendStream(Exchange, false); });
       DripTimer_->start(Silence_);
       return;
+    case EndpointBehavior::SilentBeforeEnd:
+      Exchange->startStream(200, responseHeaders());
+      Exchange->write(event(1) + event(2) + event(3));
+      DripTimer_ = std::make_unique<net::Timer>(
+          Loop_, [Exchange] { Exchange->endStream(); });
+      DripTimer_->start(Silence_);
+      return;
     case EndpointBehavior::SilentUntilRefusal:
     case EndpointBehavior::SilentUntilError: {
       net::HttpHeaders Headers = responseHeaders();
@@ -1932,6 +1941,23 @@
                                     .Latest_ = 700ms}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
+/// Guards against a stream that is begun anew, or ended twice, after its held
+/// response was whole: an attempt beside it must not go on.
+TEST_F(VersionedStreamTest, WholeStreamEndsTheAttemptBesideIt) {
+  configure(RequestKind::Stream, true, 8000ms);
+  Router_->streams().setHistoryKnown();
+  Router_->onStreamLookup([](const std::string &, auto) {});
+  *Script_ = {EndpointBehavior::SilentBeforeEnd,
+              EndpointBehavior::SilentResponse};
+  listTwoVersions(true);
+  Endpoints_[0]->Silence_ = 700ms;
+  std::string Body;
+  startCall(Body, 8s);
+  wait(3500ms);
+  EXPECT_EQ(receivedRequests(), 2u);
+  EXPECT_EQ(Body, AllEvents);
+}
+
 /// Guards against whole streams that a router withholds when it ends.
 TEST_F(VersionedStreamTest, WholeStreamIsPassedOnBeforeTheProcessEnds) {
   configure(RequestKind::Stream, true, 5000ms);
