Log by what the version of a taken-up stream is known

A router that went on with its own stream logged nothing, and a refused take-up only the end of its request, so that the hypotheses of the incident could not be told apart: whether the router, the table or the order of the versions named the version. stream_taken_up has known_by in place of in_table; stream_not_taken_up and the metric streams_taken_up are new.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -194,12 +194,16 @@
   // may have been sent to another version since.
   bool IsKnown = !Context_.FindStream_ ||
                  Context_.Streams_.isOwn(RequestMetadata_.ResumedAttempt_);
-  if (IsKnown && useStreamOrigin())
+  if (IsKnown && useStreamOrigin()) {
+    logTakenUp("router");
     return true;
+  }
   if (!Context_.FindStream_) {
-    if (assumeFirstVersion())
+    if (assumeFirstVersion()) {
+      logTakenUp("order");
       return true;
-    refuse(RefusalReason::StreamUnknown, StreamRetryAfter);
+    }
+    refuseUnknownStream(false);
     return false;
   }
   Context_.FindStream_(RequestMetadata_.ResumedAttempt_,
@@ -240,16 +244,30 @@
   // Without the table, this router can't tell which versions have joined.
   bool IsInTable = TableRead && useStreamOrigin();
   if (!IsInTable && !(TableRead && assumeFirstVersion())) {
-    refuse(RefusalReason::StreamUnknown, StreamRetryAfter);
+    refuseUnknownStream(TableRead);
     return;
   }
+  logTakenUp(IsInTable ? "table" : "order");
+  if (reserveTokens())
+    placeAttempt();
+}
+
+void ForwardedRequest::logTakenUp(std::string_view KnownBy) const {
+  Context_.Metrics_.count("streams_taken_up", "known_by", std::string(KnownBy));
   observe::log(LogLevel::Info, "stream_taken_up",
                {{"request", RequestMetadata_.AttemptId_},
                 {"stream", RequestMetadata_.ResumedAttempt_},
                 {"software", *Software_},
-                {"in_table", IsInTable}});
-  if (reserveTokens())
-    placeAttempt();
+                {"known_by", KnownBy}});
+}
+
+void ForwardedRequest::refuseUnknownStream(bool TableRead) {
+  Context_.Metrics_.count("streams_taken_up", "known_by", "nothing");
+  observe::log(LogLevel::Info, "stream_not_taken_up",
+               {{"request", RequestMetadata_.AttemptId_},
+                {"stream", RequestMetadata_.ResumedAttempt_},
+                {"table_read", TableRead}});
+  refuse(RefusalReason::StreamUnknown, StreamRetryAfter);
 }
 
 std::optional<RefusalReason> ForwardedRequest::admit() {
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -111,6 +111,12 @@
   /// Handles the end of a lookup. \p TableRead is false if the table could not
   /// be read.
   void onStreamLookup(bool TableRead);
+  /// Logs by what the version of a stream is known: "router" if this one began
+  /// it, "table", or "order" if the table lacks it and its version is taken for
+  /// the one that joined first.
+  void logTakenUp(std::string_view KnownBy) const;
+  /// Refuses to go on with a stream whose version is not known.
+  void refuseUnknownStream(bool TableRead);
   /// Reserves the request's maximum number of tokens. Returns false if the
   /// request has to wait for tokens or was refused.
   bool reserveTokens();
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -2059,11 +2059,14 @@
   bool TableRead_ = true;
   /// Version that had begun the stream when the table was read before.
   std::string_view BegunBefore_;
-  /// Version that, by the table, has served beside v1.
+  /// Version that, by the table, has served beside v1, and its rank.
   std::string_view OtherVersion_;
+  std::uint32_t OtherRank_ = 0;
   /// Version that, by the table, has begun the stream.
   std::string_view BegunBy_;
   unsigned Status_ = 503;
+  /// By what the version of the stream is known.
+  std::string_view KnownBy_ = "nothing";
 };
 
 std::ostream &operator<<(std::ostream &Out, const TakeUpLookupCase &Value) {
@@ -2088,8 +2091,8 @@
         {"a1", Pool, std::string(Case.BegunBefore_), Loop_->now(), 1});
   Router_->onStreamLookup([&](const std::string &Attempt, auto OnEnd) {
     if (!Case.OtherVersion_.empty())
-      Router_->streams().addVersion(
-          {Pool, std::string(Case.OtherVersion_), Loop_->now()});
+      Router_->streams().addVersion({Pool, std::string(Case.OtherVersion_),
+                                     Loop_->now(), Case.OtherRank_});
     if (!Case.BegunBy_.empty())
       Router_->streams().add(
           {Attempt, Pool, std::string(Case.BegunBy_), Loop_->now(), 2});
@@ -2102,6 +2105,10 @@
       {"Last-Event-ID", "1"},   {"X-Resumed-Attempt", "a1"}};
   EXPECT_EQ(fetch(std::move(TakeUp)).Status_, Case.Status_);
   EXPECT_EQ(Endpoint.Requests_.empty(), Case.Status_ != 200);
+  EXPECT_NE(Router_->metrics().text().find("streams_taken_up{known_by=\"" +
+                                           std::string(Case.KnownBy_) +
+                                           "\"} 1"),
+            std::string::npos);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -2111,22 +2118,33 @@
                                      .OtherVersion_ = "v2"},
                     TakeUpLookupCase{.Name_ = "begun_by_other_version",
                                      .OtherVersion_ = "v2",
-                                     .BegunBy_ = "v2"},
+                                     .BegunBy_ = "v2",
+                                     .KnownBy_ = "table"},
                     TakeUpLookupCase{.Name_ = "begun_by_this_version",
                                      .OtherVersion_ = "v2",
                                      .BegunBy_ = "v1",
-                                     .Status_ = 200},
+                                     .Status_ = 200,
+                                     .KnownBy_ = "table"},
                     TakeUpLookupCase{.Name_ = "sent_to_this_version_since",
                                      .BegunBefore_ = "v2",
                                      .BegunBy_ = "v1",
-                                     .Status_ = 200},
+                                     .Status_ = 200,
+                                     .KnownBy_ = "table"},
                     TakeUpLookupCase{.Name_ = "sent_to_other_version_since",
                                      .BegunBefore_ = "v1",
-                                     .BegunBy_ = "v2"},
+                                     .BegunBy_ = "v2",
+                                     .KnownBy_ = "table"},
                     TakeUpLookupCase{.Name_ = "read_before_and_not_now",
                                      .TableRead_ = false,
                                      .BegunBefore_ = "v1"},
-                    TakeUpLookupCase{.Name_ = "one_version", .Status_ = 200}),
+                    TakeUpLookupCase{.Name_ = "other_version_joined_later",
+                                     .OtherVersion_ = "v2",
+                                     .OtherRank_ = 1,
+                                     .Status_ = 200,
+                                     .KnownBy_ = "order"},
+                    TakeUpLookupCase{.Name_ = "one_version",
+                                     .Status_ = 200,
+                                     .KnownBy_ = "order"}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
 struct DeadlyRequestCase {
