Reproduce streams whose software version is assumed wrongly; red

Six ways in which a router takes a stream for one of the first version that another one began, each read in the code and shown by a test. Two cases of HeldStreamTest replace until_no_other_version_serves and whole_until_no_other_version_serves: those asked for a stream to start as soon as its router lists no endpoint of another version, though other routers may still list one. The new ones ask for it to be written first, and two more that it starts while the table takes no writes.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1788,8 +1788,16 @@
                                         .FirstGone_ = false}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
-/// What lets a stream start that an endpoint of the second version has begun.
-enum class HoldEnd { Written, OtherVersionLeaves };
+/// What happens while a stream is held back that an endpoint of the second
+/// version has begun.
+enum class HoldEvent {
+  Written,
+  /// The other version leaves this router's list, and the stream is written
+  /// later.
+  OtherVersionLeaves,
+  /// The table takes no writes any more, and the other version leaves.
+  OtherVersionLeavesWithoutTable,
+};
 
 struct HeldStreamCase {
   std::string_view Name_;
@@ -1799,7 +1807,7 @@
   bool TableWritable_ = true;
   bool Resumable_ = true;
   bool Held_ = true;
-  HoldEnd End_ = HoldEnd::Written;
+  HoldEvent Event_ = HoldEvent::Written;
   EndpointBehavior Behavior_ = EndpointBehavior::SlowStream;
 };
 
@@ -1857,10 +1865,17 @@
   wait(200ms);
   EXPECT_EQ(Endpoints_[1]->Requests_.empty(), !Case.SecondVersion_);
   EXPECT_EQ(Body.empty(), Case.Held_);
-  if (Case.End_ == HoldEnd::OtherVersionLeaves) {
+  if (Case.Event_ != HoldEvent::Written) {
+    Router_->streams().setWritable(Case.Event_ !=
+                                   HoldEvent::OtherVersionLeavesWithoutTable);
     Router_->endpoints().remove(base::EndpointId("v1"), Loop_->now());
     Router_->endpointsChanged();
-  } else {
+    wait(200ms);
+  }
+  if (Case.Event_ == HoldEvent::OtherVersionLeaves) {
+    EXPECT_EQ(Body, "");
+  }
+  if (Case.Event_ != HoldEvent::OtherVersionLeavesWithoutTable) {
     Router_->streamsWritten(
         {{"a1", base::PoolId("pool"), Case.SecondVersion_ ? "v2" : "v1",
           Loop_->now()}});
@@ -1873,12 +1888,20 @@
     Holds, HeldStreamTest,
     testing::Values(
         HeldStreamCase{.Name_ = "until_written"},
-        HeldStreamCase{.Name_ = "until_no_other_version_serves",
-                       .End_ = HoldEnd::OtherVersionLeaves},
+        HeldStreamCase{.Name_ = "until_written_after_the_other_version_left",
+                       .Event_ = HoldEvent::OtherVersionLeaves},
+        HeldStreamCase{.Name_ = "until_no_other_version_serves_"
+                                "and_the_table_is_away",
+                       .Event_ = HoldEvent::OtherVersionLeavesWithoutTable},
         HeldStreamCase{.Name_ = "whole_until_written",
                        .Behavior_ = EndpointBehavior::CompleteStream},
-        HeldStreamCase{.Name_ = "whole_until_no_other_version_serves",
-                       .End_ = HoldEnd::OtherVersionLeaves,
+        HeldStreamCase{
+            .Name_ = "whole_until_written_after_the_other_version_left",
+            .Event_ = HoldEvent::OtherVersionLeaves,
+            .Behavior_ = EndpointBehavior::CompleteStream},
+        HeldStreamCase{.Name_ = "whole_until_no_other_version_serves_"
+                                "and_the_table_is_away",
+                       .Event_ = HoldEvent::OtherVersionLeavesWithoutTable,
                        .Behavior_ = EndpointBehavior::CompleteStream},
         HeldStreamCase{.Name_ = "not_at_the_first_version",
                        .SecondVersion_ = false,
@@ -2056,6 +2079,8 @@
 /// know, while it lists only v1.
 struct TakeUpLookupCase {
   std::string_view Name_;
+  /// Whether the caller names the attempt that brought the first event.
+  bool NamesAttempt_ = true;
   bool TableRead_ = true;
   /// Version that had begun the stream when the table was read before.
   std::string_view BegunBefore_;
@@ -2079,7 +2104,9 @@
 
 /// Guards against a router that was cut off or stood still, and takes the only
 /// version that it has heard of for that of a stream begun elsewhere, or one
-/// that it has read before the stream was sent to another version.
+/// that it has read before the stream was sent to another version; and against
+/// a stream that its caller does not name, which the table may have under any
+/// version.
 TEST_P(TakeUpLookupTest, UnknownStreamGoesOnOnlyByTheTable) {
   const TakeUpLookupCase &Case = GetParam();
   configure(RequestKind::Stream, true);
@@ -2099,10 +2126,13 @@
     OnEnd(Case.TableRead_);
   });
   net::OriginRequest TakeUp = makeCall();
-  TakeUp.Headers_ = {
-      {"Host", "shop.example"}, {"Authorization", "Bearer secret"},
-      {"X-Attempt-Id", "a2"},   {"X-Time-Left-Ms", "2000"},
-      {"Last-Event-ID", "1"},   {"X-Resumed-Attempt", "a1"}};
+  TakeUp.Headers_ = {{"Host", "shop.example"},
+                     {"Authorization", "Bearer secret"},
+                     {"X-Attempt-Id", "a2"},
+                     {"X-Time-Left-Ms", "2000"},
+                     {"Last-Event-ID", "1"}};
+  if (Case.NamesAttempt_)
+    TakeUp.Headers_.add("X-Resumed-Attempt", "a1");
   EXPECT_EQ(fetch(std::move(TakeUp)).Status_, Case.Status_);
   EXPECT_EQ(Endpoint.Requests_.empty(), Case.Status_ != 200);
   EXPECT_NE(Router_->metrics().text().find("streams_taken_up{known_by=\"" +
@@ -2113,38 +2143,46 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Tables, TakeUpLookupTest,
-    testing::Values(TakeUpLookupCase{.Name_ = "not_read", .TableRead_ = false},
-                    TakeUpLookupCase{.Name_ = "other_version_served",
-                                     .OtherVersion_ = "v2"},
-                    TakeUpLookupCase{.Name_ = "begun_by_other_version",
-                                     .OtherVersion_ = "v2",
-                                     .BegunBy_ = "v2",
-                                     .KnownBy_ = "table"},
-                    TakeUpLookupCase{.Name_ = "begun_by_this_version",
-                                     .OtherVersion_ = "v2",
-                                     .BegunBy_ = "v1",
-                                     .Status_ = 200,
-                                     .KnownBy_ = "table"},
-                    TakeUpLookupCase{.Name_ = "sent_to_this_version_since",
-                                     .BegunBefore_ = "v2",
-                                     .BegunBy_ = "v1",
-                                     .Status_ = 200,
-                                     .KnownBy_ = "table"},
-                    TakeUpLookupCase{.Name_ = "sent_to_other_version_since",
-                                     .BegunBefore_ = "v1",
-                                     .BegunBy_ = "v2",
-                                     .KnownBy_ = "table"},
-                    TakeUpLookupCase{.Name_ = "read_before_and_not_now",
-                                     .TableRead_ = false,
-                                     .BegunBefore_ = "v1"},
-                    TakeUpLookupCase{.Name_ = "other_version_joined_later",
-                                     .OtherVersion_ = "v2",
-                                     .OtherRank_ = 1,
-                                     .Status_ = 200,
-                                     .KnownBy_ = "order"},
-                    TakeUpLookupCase{.Name_ = "one_version",
-                                     .Status_ = 200,
-                                     .KnownBy_ = "order"}),
+    testing::Values(
+        TakeUpLookupCase{.Name_ = "not_read", .TableRead_ = false},
+        TakeUpLookupCase{.Name_ = "other_version_served",
+                         .OtherVersion_ = "v2"},
+        TakeUpLookupCase{.Name_ = "begun_by_other_version",
+                         .OtherVersion_ = "v2",
+                         .BegunBy_ = "v2",
+                         .KnownBy_ = "table"},
+        TakeUpLookupCase{.Name_ = "begun_by_this_version",
+                         .OtherVersion_ = "v2",
+                         .BegunBy_ = "v1",
+                         .Status_ = 200,
+                         .KnownBy_ = "table"},
+        TakeUpLookupCase{.Name_ = "sent_to_this_version_since",
+                         .BegunBefore_ = "v2",
+                         .BegunBy_ = "v1",
+                         .Status_ = 200,
+                         .KnownBy_ = "table"},
+        TakeUpLookupCase{.Name_ = "sent_to_other_version_since",
+                         .BegunBefore_ = "v1",
+                         .BegunBy_ = "v2",
+                         .KnownBy_ = "table"},
+        TakeUpLookupCase{.Name_ = "read_before_and_not_now",
+                         .TableRead_ = false,
+                         .BegunBefore_ = "v1"},
+        TakeUpLookupCase{.Name_ = "other_version_joined_later",
+                         .OtherVersion_ = "v2",
+                         .OtherRank_ = 1,
+                         .Status_ = 200,
+                         .KnownBy_ = "order"},
+        TakeUpLookupCase{.Name_ = "unnamed_and_other_version_joined",
+                         .NamesAttempt_ = false,
+                         .OtherVersion_ = "v2",
+                         .OtherRank_ = 1},
+        TakeUpLookupCase{.Name_ = "unnamed_and_one_version",
+                         .NamesAttempt_ = false,
+                         .Status_ = 200,
+                         .KnownBy_ = "order"},
+        TakeUpLookupCase{
+            .Name_ = "one_version", .Status_ = 200, .KnownBy_ = "order"}),
     [](const auto &Info) { return std::string(Info.param.Name_); });
 
 struct DeadlyRequestCase {
