Take no version for granted of a stream that its caller does not name

A caller that takes a stream up without naming the attempt that began it got the stream on at the first version, whatever had begun it: the lookup looked for an attempt without a name, and its absence from the table counted like that of a named one. Such a stream goes on only while one version alone has served; otherwise the caller is refused as not run.

TakeUpLookupTest, unnamed_and_other_version_joined, failed before (200 at v1).

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -234,7 +234,12 @@
 bool ForwardedRequest::assumeFirstVersion() {
   if (Context_.Streams_.find(RequestMetadata_.ResumedAttempt_))
     return false;
-  Software_ = Context_.Streams_.versionOfUnwritten(Pool_, Context_.Loop_.now());
+  const StreamVersions &Streams = Context_.Streams_;
+  base::TimePoint Now = Context_.Loop_.now();
+  // The table may have a stream that the caller does not name.
+  Software_ = RequestMetadata_.ResumedAttempt_.empty()
+                  ? Streams.onlyVersion(Pool_, Now)
+                  : Streams.versionOfUnwritten(Pool_, Now);
   return Software_.has_value();
 }
 
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -105,8 +105,8 @@
   /// Takes over the version that began the stream; returns false if it is not
   /// known.
   bool useStreamOrigin();
-  /// Takes over the version of the streams that the table lacks; returns false
-  /// if that may be several.
+  /// Takes over the version of the streams that the table lacks, or of all
+  /// streams if the caller names none; returns false if that may be several.
   bool assumeFirstVersion();
   /// Handles the end of a lookup. \p TableRead is false if the table could not
   /// be read.
--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -94,6 +94,10 @@
   /// after the stream has broken off, lacks; nothing if that may be several.
   std::optional<std::string> versionOfUnwritten(const base::PoolId &Pool,
                                                 base::TimePoint Now) const;
+  /// Returns the version that began all streams of the pool, if only one has
+  /// served for as long as streams are remembered.
+  std::optional<std::string> onlyVersion(const base::PoolId &Pool,
+                                         base::TimePoint Now) const;
   /// Whether one version joined before all others that have served lately.
   bool isOrdered(const base::PoolId &Pool, base::TimePoint Now) const;
   /// Whether a stream of this version must be in the table before its first
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -170,6 +170,15 @@
   return First;
 }
 
+std::optional<std::string>
+StreamVersions::onlyVersion(const base::PoolId &Pool,
+                            base::TimePoint Now) const {
+  auto First = firstVersion(Pool, Lifetime, Now);
+  if (First && !isAlone(Pool, *First, Lifetime, Now))
+    return std::nullopt;
+  return First;
+}
+
 bool StreamVersions::isOrdered(const base::PoolId &Pool,
                                base::TimePoint Now) const {
   return earliest(Pool, WriteTime, Now).size() <= 1;
