Hold a new stream until it is written, also when the other version has left

A stream of a later version was passed on unwritten as soon as its router listed no endpoint of another version. Now the stream waits for its write as long as the table takes writes, that is, for 300 ms after a write that is not answered; while it takes none, callers are served as before.

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -509,9 +509,7 @@
           Streams.mayBeTakenForAnother(Id));
 }
 
-bool ForwardedRequest::mustHold() const {
-  if (!isVersionUnrecorded())
-    return false;
+bool ForwardedRequest::isOtherVersionUsable() const {
   const std::string &Software = Attempt_.Target_.SoftwareVersion_;
   const auto &Usable = Context_.Endpoints_.usable();
   return std::any_of(Usable.begin(), Usable.end(), [&](const auto &Each) {
@@ -520,6 +518,12 @@
   });
 }
 
+bool ForwardedRequest::mustHold() const {
+  // Other routers may list an endpoint of another version that has left here.
+  return isVersionUnrecorded() &&
+         (Context_.Streams_.writable() || isOtherVersionUsable());
+}
+
 void ForwardedRequest::logIfUnrecorded() const {
   if (!isVersionUnrecorded())
     return;
@@ -530,7 +534,7 @@
       {{"request", RequestMetadata_.AttemptId_},
        {"software", Attempt_.Target_.SoftwareVersion_},
        {"whole", !AttemptActive_},
-       {"other_version_usable", mustHold()},
+       {"other_version_usable", isOtherVersionUsable()},
        {"table_writable", Context_.Streams_.writable()},
        {"after_ms", toMilliseconds(Context_.Loop_.now() - Attempt_.SentAt_)}});
 }
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -179,8 +179,12 @@
   /// Whether a router that reads the table could take the new stream for one of
   /// another version.
   bool isVersionUnrecorded() const;
+  /// Whether this router lists an endpoint of another version than that of the
+  /// attempt.
+  bool isOtherVersionUsable() const;
   /// Whether a caller that takes the stream up elsewhere could be sent to an
-  /// endpoint of another version, as the table lacks the stream.
+  /// endpoint of another version, as the table lacks the stream. While the
+  /// table takes no writes, only this router's own list tells.
   bool mustHold() const;
   /// Logs that the stream starts although isVersionUnrecorded().
   void logIfUnrecorded() const;
