Assume no version of streams while a row of the table can't be read

A row of the stream table that could not be parsed was logged and left out, so that its streams counted as absent, and went on at the first version. An attempt of another type in a row was left out without a word. Such a row may be from another version of the program, and may name a version that this router has not heard of. Once one was read, nothing is assumed of streams that the table lacks for as long as streams count; their callers are refused as not run.

No such row has been seen.

--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -78,6 +78,9 @@
   void setHistoryKnown();
   /// Notes that the table may have lost streams and versions.
   void forgetOrder(base::TimePoint Now);
+  /// Notes that a row of the table could not be read. It may name streams, and
+  /// versions that this router does not know.
+  void addUnreadable(base::TimePoint Now) { UnreadableAt_ = Now; }
 
   /// Notes that this router sends a new stream to an endpoint. Replaces what an
   /// earlier send under the same attempt has noted.
@@ -185,6 +188,8 @@
   std::deque<std::string> Order_;
   /// When the latest of the streams began that were dropped for want of room.
   std::optional<base::TimePoint> DroppedBeganAt_;
+  /// When a row of the table could last not be read.
+  std::optional<base::TimePoint> UnreadableAt_;
   /// Attempts of this router whose streams the table lacks.
   std::vector<std::string> Unwritten_;
   std::map<base::PoolId, Versions> Versions_;
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -138,7 +138,8 @@
 StreamVersions::firstVersion(const base::PoolId &Pool, base::Duration Span,
                              base::TimePoint Now) const {
   auto Earliest = earliest(Pool, Span, Now);
-  if (Earliest.size() != 1 || !isHistoryComplete(Now))
+  if (Earliest.size() != 1 || !isHistoryComplete(Now) ||
+      (UnreadableAt_ && Now - *UnreadableAt_ < Span))
     return std::nullopt;
   const std::string &First = Earliest.front()->first;
   if (OrderLostAt_ && Now - *OrderLostAt_ < WriteTime &&
