Rank a version that a router has just seen by the table

Each router ranked versions in the order in which it listed them, and wrote the ranks to rows that all share. One that had been cut off or had stood still while versions joined and left took a later version for the first: it did not write that version's streams, and other routers, which knew an earlier one, took them for streams of that one. Both orders were also written over each other, so that a router that started could read either.

A version that a router has just listed now has no rank that counts until the table was read again, by a read that began later: its streams are held until they are written, and its row is not. What the table says replaces what the router thought; a version that the table lacks comes after those that it has.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -1817,8 +1817,8 @@
 
 class VersionedStreamTest : public DirectRouterTest {
 protected:
-  /// Lists an endpoint of v1, later one of v2. The second is preferred if
-  /// \p PrefersSecond, the first otherwise.
+  /// Lists an endpoint of v1, later one of v2, as the table knows them. The
+  /// second is preferred if \p PrefersSecond, the first otherwise.
   void listTwoVersions(bool PrefersSecond) {
     for (std::string_view Software : {"v1", "v2"}) {
       Endpoints_.push_back(std::make_unique<FakeEndpoint>(*Loop_, Script_));
@@ -1826,6 +1826,7 @@
       list(std::string(Software), Endpoints_.back()->address(),
            IsSecond == PrefersSecond ? "here" : "far", std::string(Software));
       wait(1100ms);
+      Router_->streams().confirmVersions(Loop_->now());
     }
   }
 
--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -52,7 +52,9 @@
 /// table does not know which version is the first; its streams are all written.
 /// So are those of a router that knows no order, until the table says that
 /// there is none: from then on, nothing is assumed of streams that the table
-/// lacks.
+/// lacks. A router may have missed how versions joined. It ranks one that it
+/// has just seen only after it has read the table again, and writes the streams
+/// of that version until then.
 class StreamVersions {
 public:
   /// Time for which streams and versions are remembered. A stream that began
@@ -76,6 +78,13 @@
   void addVersion(const PoolVersion &Seen);
   /// Notes that the table's versions were all added.
   void setHistoryKnown();
+  /// Whether a version was listed that the table, as far as it was read, lacks.
+  /// Another router may have seen it join in another order, so that its rank
+  /// counts only once the table was read again.
+  bool hasUnconfirmed() const;
+  /// Notes that the table's versions were added again, by a read that began at
+  /// \p ReadAt.
+  void confirmVersions(base::TimePoint ReadAt);
   /// Notes that the table may have lost streams and versions.
   void forgetOrder(base::TimePoint Now);
   /// Notes that a row of the table could not be read. It may name streams, and
@@ -121,6 +130,7 @@
   void setWritable(bool Writable) { Writable_ = Writable; }
   bool writable() const { return Writable_; }
 
+  /// Returns the versions whose rank counts.
   std::vector<PoolVersion> versions() const;
   /// Notes that a write that began at \p At has brought these versions to the
   /// table, in rows that no other router writes.
@@ -147,6 +157,8 @@
     base::TimePoint LastSeenAt_{};
     std::uint32_t Rank_ = 0;
     bool FromTable_ = false;
+    /// Whether the table was read after the version was first listed.
+    bool Confirmed_ = false;
     /// Rank in a row of the table that only this router writes, and when the
     /// write began.
     std::optional<std::uint32_t> WrittenRank_{};
@@ -154,6 +166,9 @@
   };
   using Versions = std::map<std::string, Version>;
 
+  /// Returns the rank of a version that joins after those in \p Seen.
+  static std::uint32_t nextRank(const Versions &Seen, base::TimePoint JoinedAt);
+
   bool isHistoryComplete(base::TimePoint Now) const {
     return HistoryKnown_ || Now - StartedAt_ >= Lifetime;
   }
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -15,12 +15,41 @@
     Known->second.LastSeenAt_ = Now;
     return;
   }
-  Version Joined{.FirstSeenAt_ = Now, .LastSeenAt_ = Now};
-  for (const auto &[Other, Each] : Seen) {
-    bool HasLead = Each.FromTable_ || Now - Each.FirstSeenAt_ >= MinLead;
-    Joined.Rank_ = std::max(Joined.Rank_, Each.Rank_ + (HasLead ? 1U : 0U));
+  Seen.emplace(Software, Version{.FirstSeenAt_ = Now,
+                                 .LastSeenAt_ = Now,
+                                 .Rank_ = nextRank(Seen, Now)});
+}
+
+std::uint32_t StreamVersions::nextRank(const Versions &Seen,
+                                       base::TimePoint JoinedAt) {
+  std::uint32_t Rank = 0;
+  for (const auto &[Software, Each] : Seen) {
+    bool HasLead = Each.FromTable_ || JoinedAt - Each.FirstSeenAt_ >= MinLead;
+    Rank = std::max(Rank, Each.Rank_ + (HasLead ? 1U : 0U));
+  }
+  return Rank;
+}
+
+bool StreamVersions::hasUnconfirmed() const {
+  return std::any_of(Versions_.begin(), Versions_.end(), [](const auto &Pool) {
+    return std::any_of(
+        Pool.second.begin(), Pool.second.end(),
+        [](const auto &Each) { return !Each.second.Confirmed_; });
+  });
+}
+
+void StreamVersions::confirmVersions(base::TimePoint ReadAt) {
+  for (auto &[Pool, Seen] : Versions_) {
+    Versions Known = Seen;
+    std::erase_if(Known,
+                  [](const auto &Each) { return !Each.second.Confirmed_; });
+    for (auto &[Software, Each] : Seen) {
+      if (Each.Confirmed_ || Each.FirstSeenAt_ > ReadAt)
+        continue;
+      Each.Rank_ = std::max(Each.Rank_, nextRank(Known, Each.FirstSeenAt_));
+      Each.Confirmed_ = true;
+    }
   }
-  Seen.emplace(Software, Joined);
 }
 
 void StreamVersions::addVersion(const PoolVersion &Seen) {
@@ -28,16 +57,18 @@
       Seen.Software_, Version{.FirstSeenAt_ = Seen.LastSeenAt_,
                               .LastSeenAt_ = Seen.LastSeenAt_,
                               .Rank_ = Seen.Rank_,
-                              .FromTable_ = true});
+                              .FromTable_ = true,
+                              .Confirmed_ = true});
   if (New)
     return;
   Version &Known = Found->second;
   Known.LastSeenAt_ = std::max(Known.LastSeenAt_, Seen.LastSeenAt_);
-  // Before the first read, this router may have taken an old version for one
-  // that has just joined. Afterwards, the lower rank says less and is safe.
-  bool Replaces = !HistoryKnown_ && !Known.FromTable_;
-  Known.Rank_ = Replaces ? Seen.Rank_ : std::min(Known.Rank_, Seen.Rank_);
+  // Before a read, this router may have taken an old version for one that has
+  // just joined. Afterwards, the lower rank says less and is safe.
+  Known.Rank_ =
+      Known.Confirmed_ ? std::min(Known.Rank_, Seen.Rank_) : Seen.Rank_;
   Known.FromTable_ = true;
+  Known.Confirmed_ = true;
 }
 
 void StreamVersions::setHistoryKnown() {
@@ -47,11 +78,11 @@
     for (const auto &[Software, Each] : Seen)
       if (Each.FromTable_)
         Last = std::max(Last.value_or(0U), Each.Rank_);
-    if (!Last)
-      continue;
-    for (auto &[Software, Each] : Seen)
-      if (!Each.FromTable_)
+    for (auto &[Software, Each] : Seen) {
+      Each.Confirmed_ = true;
+      if (Last && !Each.FromTable_)
         Each.Rank_ = *Last + 1;
+    }
   }
 }
 
@@ -192,7 +223,8 @@
     return true;
   auto Earliest = earliest(Pool, WriteTime, Now);
   if (Earliest.size() == 1)
-    return Earliest.front()->first != Software;
+    return Earliest.front()->first != Software ||
+           !Earliest.front()->second.Confirmed_;
   // Routers that read these ranks assume nothing, for as long as the versions
   // count for them.
   return std::any_of(Earliest.begin(), Earliest.end(), [Now](const auto *Each) {
@@ -258,7 +290,8 @@
   std::vector<PoolVersion> All;
   for (const auto &[Pool, Seen] : Versions_)
     for (const auto &[Software, Each] : Seen)
-      All.push_back({Pool, Software, Each.LastSeenAt_, Each.Rank_});
+      if (Each.Confirmed_)
+        All.push_back({Pool, Software, Each.LastSeenAt_, Each.Rank_});
   return All;
 }
 
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -133,6 +133,7 @@
   for (const auto &[Software, At] : Case.Late_) {
     Now = Start + At;
     Streams.markListed(Pool, Software, Now);
+    Streams.confirmVersions(Now);
   }
   for (const PoolVersion &Each : Case.Learned_)
     Streams.addVersion(Each);
@@ -223,6 +224,26 @@
                                     .NeedsWriting_ = false}),
     [](const auto &Info) { return Info.param.Name_; });
 
+/// Guards against a router that has missed how versions joined, and does not
+/// write the streams of one that others do not take for the first.
+TEST(StreamVersionsTest, NewVersionIsFirstOnlyOnceTheTableWasReadAgain) {
+  StreamVersions Streams(Start);
+  Streams.setHistoryKnown();
+  Streams.markListed(Pool, "v3", Start);
+  EXPECT_TRUE(Streams.hasUnconfirmed());
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v3", Start));
+  EXPECT_TRUE(Streams.versions().empty());
+  // A read that began before the version was listed tells nothing of it.
+  Streams.confirmVersions(Start - 1ms);
+  EXPECT_TRUE(Streams.hasUnconfirmed());
+  Streams.addVersion({Pool, "v2", Start, 4});
+  Streams.confirmVersions(Start);
+  EXPECT_FALSE(Streams.hasUnconfirmed());
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v3", Start));
+  EXPECT_FALSE(Streams.needsWriting(Pool, "v2", Start));
+  EXPECT_EQ(Streams.versions().size(), 2u);
+}
+
 /// Guards against a router that does not know which version joined first, and
 /// relies on others that know more. What it has written counts for as long as
 /// others see it.
@@ -231,6 +252,7 @@
   Streams.setHistoryKnown();
   Streams.markListed(Pool, "v1", Start);
   Streams.markListed(Pool, "v2", Start + 100ms);
+  Streams.confirmVersions(Start + 100ms);
   EXPECT_FALSE(Streams.isOrdered(Pool, Start + 100ms));
   EXPECT_TRUE(Streams.needsWriting(Pool, "v1", Start + 100ms));
   Streams.markVersionsWritten({{Pool, "v1", Start, 0}}, Start + 100ms);
@@ -252,6 +274,7 @@
   Streams.setHistoryKnown();
   Streams.markListed(Pool, "v1", Start);
   Streams.markListed(Pool, "v2", Start + 5s);
+  Streams.confirmVersions(Start + 5s);
   base::TimePoint Left = Start + StreamVersions::Lifetime;
   EXPECT_EQ(Streams.versionOfUnwritten(Pool, Left - 1s), "v1");
   EXPECT_FALSE(Streams.needsWriting(Pool, "v1", Left - 1s));
