Take no attempt without an id for the stream that a caller does not name

A router notes each new stream under the id of its attempt, also under none. A caller that named no attempt was then sent on at the version of the latest attempt without an id, which had begun another stream. Nothing is looked up for a caller that names no attempt.

TakeUpLookupTest, unnamed_beside_an_attempt_without_id, failed before (200 at v1).

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -214,9 +214,14 @@
   return false;
 }
 
+const StreamOrigin *ForwardedRequest::findStreamOrigin() const {
+  // An attempt without an id may have begun another stream.
+  const std::string &Id = RequestMetadata_.ResumedAttempt_;
+  return Id.empty() ? nullptr : Context_.Streams_.find(Id);
+}
+
 bool ForwardedRequest::useStreamOrigin() {
-  const StreamOrigin *Origin =
-      Context_.Streams_.find(RequestMetadata_.ResumedAttempt_);
+  const StreamOrigin *Origin = findStreamOrigin();
   if (!Origin)
     return false;
   // A route may have several pools; the stream goes on in its own.
@@ -232,7 +237,7 @@
 }
 
 bool ForwardedRequest::assumeFirstVersion() {
-  if (Context_.Streams_.find(RequestMetadata_.ResumedAttempt_))
+  if (findStreamOrigin())
     return false;
   const StreamVersions &Streams = Context_.Streams_;
   base::TimePoint Now = Context_.Loop_.now();
--- a/daemons/direct/forwarded-request.h
+++ b/daemons/direct/forwarded-request.h
@@ -102,6 +102,8 @@
   /// Finds the software version at which a stream that the caller takes up has
   /// to go on. Returns false if the request was refused or waits for the table.
   bool resolveStream();
+  /// Returns what is known of the stream that the caller takes up, or null.
+  const StreamOrigin *findStreamOrigin() const;
   /// Takes over the version that began the stream; returns false if it is not
   /// known.
   bool useStreamOrigin();
--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -2083,7 +2083,8 @@
   /// Whether the caller names the attempt that brought the first event.
   bool NamesAttempt_ = true;
   bool TableRead_ = true;
-  /// Version that had begun the stream when the table was read before.
+  /// Id of an attempt that the router has seen before, and its version.
+  std::string_view AttemptBefore_ = "a1";
   std::string_view BegunBefore_;
   /// Version that, by the table, has served beside v1, and its rank.
   std::string_view OtherVersion_;
@@ -2115,8 +2116,8 @@
   const base::PoolId Pool("pool");
   Router_->streams().setHistoryKnown();
   if (!Case.BegunBefore_.empty())
-    Router_->streams().add(
-        {"a1", Pool, std::string(Case.BegunBefore_), Loop_->now(), 1});
+    Router_->streams().add({std::string(Case.AttemptBefore_), Pool,
+                            std::string(Case.BegunBefore_), Loop_->now(), 1});
   Router_->onStreamLookup([&](const std::string &Attempt, auto OnEnd) {
     if (!Case.OtherVersion_.empty())
       Router_->streams().addVersion({Pool, std::string(Case.OtherVersion_),
@@ -2178,6 +2179,12 @@
                          .NamesAttempt_ = false,
                          .OtherVersion_ = "v2",
                          .OtherRank_ = 1},
+        TakeUpLookupCase{.Name_ = "unnamed_beside_an_attempt_without_id",
+                         .NamesAttempt_ = false,
+                         .AttemptBefore_ = "",
+                         .BegunBefore_ = "v1",
+                         .OtherVersion_ = "v2",
+                         .OtherRank_ = 1},
         TakeUpLookupCase{.Name_ = "unnamed_and_one_version",
                          .NamesAttempt_ = false,
                          .Status_ = 200,
