--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -81,15 +81,15 @@
   /// Whether a version was listed that the table, as far as it was read, lacks.
   /// Another router may have seen it join in another order, so that its rank
   /// counts only once the table was read again.
-  bool hasUnconfirmed() const;
+  bool hasUnconfirmedVersions() const;
   /// Notes that the table's versions were added again, by a read that began at
-  /// \p ReadAt.
-  void confirmVersions(base::TimePoint ReadAt);
+  /// \p ReadStartedAt.
+  void confirmVersions(base::TimePoint ReadStartedAt);
   /// Notes that the table may have lost streams and versions.
   void forgetOrder(base::TimePoint Now);
   /// Notes that a row of the table could not be read. It may name streams, and
   /// versions that this router does not know.
-  void addUnreadable(base::TimePoint Now) { UnreadableAt_ = Now; }
+  void markRowUnreadable(base::TimePoint Now) { UnreadableAt_ = Now; }
 
   /// Notes that this router sends a new stream to an endpoint. Replaces what an
   /// earlier send under the same attempt has noted.
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -30,7 +30,7 @@
   return Rank;
 }
 
-bool StreamVersions::hasUnconfirmed() const {
+bool StreamVersions::hasUnconfirmedVersions() const {
   return std::any_of(Versions_.begin(), Versions_.end(), [](const auto &Pool) {
     return std::any_of(
         Pool.second.begin(), Pool.second.end(),
@@ -38,13 +38,13 @@
   });
 }
 
-void StreamVersions::confirmVersions(base::TimePoint ReadAt) {
+void StreamVersions::confirmVersions(base::TimePoint ReadStartedAt) {
   for (auto &[Pool, Seen] : Versions_) {
     Versions Known = Seen;
     std::erase_if(Known,
                   [](const auto &Each) { return !Each.second.Confirmed_; });
     for (auto &[Software, Each] : Seen) {
-      if (Each.Confirmed_ || Each.FirstSeenAt_ > ReadAt)
+      if (Each.Confirmed_ || Each.FirstSeenAt_ > ReadStartedAt)
         continue;
       Each.Rank_ = std::max(Each.Rank_, nextRank(Known, Each.FirstSeenAt_));
       Each.Confirmed_ = true;
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -230,15 +230,15 @@
   StreamVersions Streams(Start);
   Streams.setHistoryKnown();
   Streams.markListed(Pool, "v3", Start);
-  EXPECT_TRUE(Streams.hasUnconfirmed());
+  EXPECT_TRUE(Streams.hasUnconfirmedVersions());
   EXPECT_TRUE(Streams.needsWriting(Pool, "v3", Start));
   EXPECT_TRUE(Streams.versions().empty());
   // A read that began before the version was listed tells nothing of it.
   Streams.confirmVersions(Start - 1ms);
-  EXPECT_TRUE(Streams.hasUnconfirmed());
+  EXPECT_TRUE(Streams.hasUnconfirmedVersions());
   Streams.addVersion({Pool, "v2", Start, 4});
   Streams.confirmVersions(Start);
-  EXPECT_FALSE(Streams.hasUnconfirmed());
+  EXPECT_FALSE(Streams.hasUnconfirmedVersions());
   EXPECT_TRUE(Streams.needsWriting(Pool, "v3", Start));
   EXPECT_FALSE(Streams.needsWriting(Pool, "v2", Start));
   EXPECT_EQ(Streams.versions().size(), 2u);
