Write the streams that need writing, also at a version without another

A stream of a version that this router had not ranked yet, or of the only version at a router that started on a restored table, was held until it was written, and was not written: whether it is held and whether it is written were two rules. While only the read of the table failed, nothing else said that the store was away, and callers waited for their deadline.

Found by the review. StreamOfAStoppedRouterIsOfTheFirstVersion lets its version be ranked before the stream begins, as streams are written until then.

--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -189,7 +189,8 @@
   std::optional<std::string> firstVersion(const base::PoolId &Pool,
                                           base::Duration Span,
                                           base::TimePoint Now) const;
-  /// Whether several versions may have begun streams of the pool.
+  /// Whether several versions may have begun streams of the pool, as far as
+  /// this router knows.
   bool isAmbiguous(const base::PoolId &Pool, base::TimePoint Now) const;
   void insert(Stream Inserted);
 
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -247,7 +247,12 @@
 bool StreamVersions::isAmbiguous(const base::PoolId &Pool,
                                  base::TimePoint Now) const {
   auto Found = Versions_.find(Pool);
+  // What needs writing is written, also at the only version.
   return Found == Versions_.end() || !isHistoryComplete(Now) ||
+         !isTableKnown(Now) ||
+         std::any_of(
+             Found->second.begin(), Found->second.end(),
+             [](const auto &Each) { return !Each.second.Confirmed_; }) ||
          std::count_if(Found->second.begin(), Found->second.end(),
                        [Now](const auto &Each) {
                          return Now - Each.second.LastSeenAt_ < WriteTime;
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -82,6 +82,7 @@
   StreamVersions Streams(Start);
   Streams.setHistoryKnown();
   Streams.markListed(Pool, "v1", Start);
+  Streams.confirmVersions(Start);
   Streams.sent({"a1", Pool, "v1", Start});
   EXPECT_TRUE(Streams.takeUnwritten(Start).empty());
   Streams.markListed(Pool, "v2", Start + 1s);
@@ -244,6 +245,43 @@
   EXPECT_EQ(Streams.versions().size(), 2u);
 }
 
+/// Why a version's streams need writing although it is the only one.
+struct SoleVersionCase {
+  std::string Name_;
+  bool HistoryKnown_ = true;
+  std::chrono::seconds Uptime_{1};
+};
+
+std::ostream &operator<<(std::ostream &Out, const SoleVersionCase &Value) {
+  return Out << Value.Name_;
+}
+
+class SoleVersionTest : public testing::TestWithParam<SoleVersionCase> {};
+
+/// Guards against streams that are held until their deadline: they wait for a
+/// write that never begins.
+TEST_P(SoleVersionTest, StreamsThatNeedWritingAreWritten) {
+  const SoleVersionCase &Case = GetParam();
+  StreamVersions Streams(Start);
+  if (Case.HistoryKnown_)
+    Streams.setHistoryKnown();
+  else
+    Streams.forgetOrder(Start);
+  base::TimePoint Now = Start + Case.Uptime_;
+  Streams.markListed(Pool, "v1", Now);
+  Streams.sent({"a1", Pool, "v1", Now});
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v1", Now));
+  EXPECT_EQ(Streams.takeUnwritten(Now).size(), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Versions, SoleVersionTest,
+    testing::Values(SoleVersionCase{.Name_ = "not_confirmed"},
+                    SoleVersionCase{.Name_ = "table_restored_before_the_start",
+                                    .HistoryKnown_ = false,
+                                    .Uptime_ = 70s}),
+    [](const auto &Info) { return Info.param.Name_; });
+
 /// Guards against a router that does not know which version joined first, and
 /// relies on others that know more. What it has written counts for as long as
 /// others see it.
