--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -2082,6 +2082,7 @@
   std::string_view Name_;
   /// Whether the caller names the attempt that brought the first event.
   bool NamesAttempt_ = true;
+  std::string_view LastEventId_ = "1";
   bool TableRead_ = true;
   /// Id of an attempt that the router has seen before, and its version.
   std::string_view AttemptBefore_ = "a1";
@@ -2132,7 +2133,7 @@
                      {"Authorization", "Bearer secret"},
                      {"X-Attempt-Id", "a2"},
                      {"X-Time-Left-Ms", "2000"},
-                     {"Last-Event-ID", "1"}};
+                     {"Last-Event-ID", std::string(Case.LastEventId_)}};
   if (Case.NamesAttempt_)
     TakeUp.Headers_.add("X-Resumed-Attempt", "a1");
   EXPECT_EQ(fetch(std::move(TakeUp)).Status_, Case.Status_);
@@ -2175,6 +2176,16 @@
                          .OtherRank_ = 1,
                          .Status_ = 200,
                          .KnownBy_ = "order"},
+        TakeUpLookupCase{.Name_ = "first_event_has_id_0",
+                         .LastEventId_ = "0",
+                         .OtherVersion_ = "v2",
+                         .BegunBy_ = "v2",
+                         .KnownBy_ = "table"},
+        TakeUpLookupCase{.Name_ = "event_id_unreadable",
+                         .LastEventId_ = "x",
+                         .OtherVersion_ = "v2",
+                         .BegunBy_ = "v2",
+                         .KnownBy_ = "table"},
         TakeUpLookupCase{.Name_ = "unnamed_and_other_version_joined",
                          .NamesAttempt_ = false,
                          .OtherVersion_ = "v2",
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -245,10 +245,41 @@
   EXPECT_EQ(Streams.versions().size(), 2u);
 }
 
+/// Guards against a version that joins while the table is read, and is assumed
+/// for streams of an earlier one that the table names.
+TEST(StreamVersionsTest, VersionThatTheReadCanNotKnowIsNotAssumed) {
+  StreamVersions Streams(Start);
+  Streams.markListed(Pool, "v1", Start + 1s);
+  Streams.setHistoryKnown();
+  Streams.confirmVersions(Start);
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v1", Start + 1s));
+  EXPECT_EQ(Streams.versionOfUnwritten(Pool, Start + 1s), std::nullopt);
+  Streams.confirmVersions(Start + 1s);
+  EXPECT_FALSE(Streams.needsWriting(Pool, "v1", Start + 1s));
+  EXPECT_EQ(Streams.versionOfUnwritten(Pool, Start + 1s), "v1");
+}
+
+/// Guards against a router that stood still, and takes a version which has left
+/// meanwhile for the first.
+TEST(StreamVersionsTest, VersionThatWasNotSeenForLongJoinsAnew) {
+  StreamVersions Streams(Start);
+  Streams.setHistoryKnown();
+  Streams.markListed(Pool, "v1", Start);
+  Streams.confirmVersions(Start);
+  base::TimePoint Later = Start + StreamVersions::Lifetime;
+  Streams.markListed(Pool, "v1", Later);
+  EXPECT_TRUE(Streams.hasUnconfirmedVersions());
+  EXPECT_TRUE(Streams.needsWriting(Pool, "v1", Later));
+  Streams.addVersion({Pool, "v2", Later, 1});
+  Streams.confirmVersions(Later);
+  EXPECT_EQ(Streams.versionOfUnwritten(Pool, Later), "v2");
+}
+
 /// Why a version's streams need writing although it is the only one.
 struct SoleVersionCase {
   std::string Name_;
   bool HistoryKnown_ = true;
+  bool IsRowUnreadable_ = false;
   std::chrono::seconds Uptime_{1};
 };
 
@@ -269,6 +300,10 @@
     Streams.forgetOrder(Start);
   base::TimePoint Now = Start + Case.Uptime_;
   Streams.markListed(Pool, "v1", Now);
+  if (Case.IsRowUnreadable_) {
+    Streams.confirmVersions(Now);
+    Streams.markRowUnreadable(Now);
+  }
   Streams.sent({"a1", Pool, "v1", Now});
   EXPECT_TRUE(Streams.needsWriting(Pool, "v1", Now));
   EXPECT_EQ(Streams.takeUnwritten(Now).size(), 1u);
@@ -277,6 +312,8 @@
 INSTANTIATE_TEST_SUITE_P(
     Versions, SoleVersionTest,
     testing::Values(SoleVersionCase{.Name_ = "not_confirmed"},
+                    SoleVersionCase{.Name_ = "row_unreadable",
+                                    .IsRowUnreadable_ = true},
                     SoleVersionCase{.Name_ = "table_restored_before_the_start",
                                     .HistoryKnown_ = false,
                                     .Uptime_ = 70s}),
