Take a stream up at its version whatever the id of its last event is

A caller that named the attempt which began its stream, but 0 or an unreadable number as the id of its last event, counted as one that begins a new stream, and was sent to any version. It has events of that attempt, so that it now goes on only at the attempt's version.

TakeUpLookupTest, first_event_has_id_0 and event_id_unreadable, failed before (200 at v1).

--- a/daemons/direct/forwarded-request.cpp
+++ b/daemons/direct/forwarded-request.cpp
@@ -187,8 +187,10 @@
 }
 
 bool ForwardedRequest::resolveStream() {
-  if (Route_->Kind_ != RequestKind::Stream ||
-      RequestMetadata_.LastEventId_.value_or(0) == 0)
+  // A caller that names an attempt has events of it, whatever their ids are.
+  bool IsTakenUp = RequestMetadata_.LastEventId_.value_or(0) != 0 ||
+                   !RequestMetadata_.ResumedAttempt_.empty();
+  if (Route_->Kind_ != RequestKind::Stream || !IsTakenUp)
     return true;
   // What was read of another router's stream may be out of date: its attempt
   // may have been sent to another version since.
