Assume no version that the last read of the table can't know

The first read of the table counted for all versions that had been listed by its end, also for those listed after the store had answered: a router that stood still in between took one for the first that others had ranked later. And a lookup could assume a version that joined while the table was read, with the rank that this router gave it. Only a read that began after a version was listed counts for it now, and a version without one is not assumed.

Tests that list a version and then ask what is assumed now say that the table was read in between.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -2059,6 +2059,7 @@
   for (const auto &Each : Endpoints_)
     EXPECT_TRUE(Each->Requests_.empty());
   Router_->streams().setHistoryKnown();
+  Router_->streams().confirmVersions(Loop_->now());
   Router_->streams().setWritable(true);
   EXPECT_EQ(fetch(makeCall()).Status_, 200u);
 }
@@ -2126,6 +2127,8 @@
     if (!Case.BegunBy_.empty())
       Router_->streams().add(
           {Attempt, Pool, std::string(Case.BegunBy_), Loop_->now(), 2});
+    if (Case.TableRead_)
+      Router_->streams().confirmVersions(Loop_->now());
     OnEnd(Case.TableRead_);
   });
   net::OriginRequest TakeUp = makeCall();
--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -78,11 +78,11 @@
     for (const auto &[Software, Each] : Seen)
       if (Each.FromTable_)
         Last = std::max(Last.value_or(0U), Each.Rank_);
-    for (auto &[Software, Each] : Seen) {
-      Each.Confirmed_ = true;
-      if (Last && !Each.FromTable_)
+    if (!Last)
+      continue;
+    for (auto &[Software, Each] : Seen)
+      if (!Each.FromTable_)
         Each.Rank_ = *Last + 1;
-    }
   }
 }
 
@@ -172,6 +172,9 @@
   if (Earliest.size() != 1 || !isHistoryComplete(Now) ||
       (UnreadableAt_ && Now - *UnreadableAt_ < Span))
     return std::nullopt;
+  // A router that can't read the table assumes what it has seen for long.
+  if (HistoryKnown_ && !Earliest.front()->second.Confirmed_)
+    return std::nullopt;
   const std::string &First = Earliest.front()->first;
   if (OrderLostAt_ && Now - *OrderLostAt_ < WriteTime &&
       !isAlone(Pool, First, Span, Now))
--- a/libs/direct/test/stream-versions-test.cpp
+++ b/libs/direct/test/stream-versions-test.cpp
@@ -49,6 +49,8 @@
     Streams.setHistoryKnown();
   for (const std::string &Each : Case.Listed_)
     Streams.markListed(Pool, Each, Now);
+  if (Case.HistoryKnown_)
+    Streams.confirmVersions(Now);
   EXPECT_EQ(Streams.versionOfUnwritten(Pool, Now), Case.Only_);
 }
 
@@ -131,6 +133,7 @@
     Streams.addVersion(Each);
   Streams.setHistoryKnown();
   base::TimePoint Now = Start;
+  Streams.confirmVersions(Now);
   for (const auto &[Software, At] : Case.Late_) {
     Now = Start + At;
     Streams.markListed(Pool, Software, Now);
@@ -209,8 +212,10 @@
   base::TimePoint Now = Start + Case.Uptime_;
   Streams.markListed(Pool, "v1", Now - 5s);
   Streams.markListed(Pool, "v2", Now);
-  if (Case.HistoryKnown_)
+  if (Case.HistoryKnown_) {
     Streams.setHistoryKnown();
+    Streams.confirmVersions(Now);
+  }
   EXPECT_EQ(Streams.needsWriting(Pool, "v1", Now), Case.NeedsWriting_);
   EXPECT_TRUE(Streams.needsWriting(Pool, "v2", Now));
 }
@@ -418,6 +423,7 @@
   StreamVersions Streams(Start);
   Streams.setHistoryKnown();
   Streams.markListed(Pool, "v1", Start);
+  Streams.confirmVersions(Start);
   for (std::size_t Index = 0; Index <= StreamVersions::MaxStreams; ++Index)
     Streams.add({std::to_string(Index), Pool, "v2", Start});
   EXPECT_EQ(Streams.versionOfUnwritten(Pool, Start), "v1");
