Write all streams while a row of the table can't be read

A router that could not read the row of a version which joined earlier took its own version for the first, and did not write that version's streams; routers that can read the row take them for streams of the earlier one. Two builds of the program side by side would do.

SoleVersionTest, row_unreadable, failed before.

--- a/daemons/direct/test/direct-router-test.cpp
+++ b/daemons/direct/test/direct-router-test.cpp
@@ -2117,6 +2117,8 @@
   FakeEndpoint &Endpoint = addEndpoint({EndpointBehavior::CompleteStream});
   const base::PoolId Pool("pool");
   Router_->streams().setHistoryKnown();
+  Router_->streams().markListed(Pool, "v1", Loop_->now());
+  Router_->streams().confirmVersions(Loop_->now());
   if (!Case.BegunBefore_.empty())
     Router_->streams().add({std::string(Case.AttemptBefore_), Pool,
                             std::string(Case.BegunBefore_), Loop_->now(), 1});
@@ -2127,8 +2129,6 @@
     if (!Case.BegunBy_.empty())
       Router_->streams().add(
           {Attempt, Pool, std::string(Case.BegunBy_), Loop_->now(), 2});
-    if (Case.TableRead_)
-      Router_->streams().confirmVersions(Loop_->now());
     OnEnd(Case.TableRead_);
   });
   net::OriginRequest TakeUp = makeCall();
--- a/libs/direct/include/camphorwind/direct/stream-versions.h
+++ b/libs/direct/include/camphorwind/direct/stream-versions.h
@@ -172,9 +172,11 @@
   bool isHistoryComplete(base::TimePoint Now) const {
     return HistoryKnown_ || Now - StartedAt_ >= Lifetime;
   }
-  /// Whether this router has read the table. If the table had lost rows by
-  /// then, they count for some time.
+  /// Whether this router has read all of the table. If rows had been lost by
+  /// then, or could not be read, they count for some time.
   bool isTableKnown(base::TimePoint Now) const {
+    if (UnreadableAt_ && Now - *UnreadableAt_ < WriteTime)
+      return false;
     return HistoryKnown_ || (OrderLostAt_ && Now - *OrderLostAt_ >= WriteTime);
   }
   /// Whether no other version of the pool was seen within \p Span.
