Rank a version anew that was not seen for as long as streams count

A router that had stood still for a minute took a version from before for one that had served all the while, with the rank that it had had; others had forgotten it, and no longer wrote the streams of the next one. Such a version now joins anew: it counts once the table was read again.

StreamVersionsTest.VersionThatWasNotSeenForLongJoinsAnew failed before.

--- a/libs/direct/src/stream-versions.cpp
+++ b/libs/direct/src/stream-versions.cpp
@@ -11,10 +11,14 @@
                                 base::TimePoint Now) {
   Versions &Seen = Versions_[Pool];
   auto Known = Seen.find(Software);
-  if (Known != Seen.end()) {
+  if (Known != Seen.end() && Now - Known->second.LastSeenAt_ < Lifetime) {
     Known->second.LastSeenAt_ = Now;
     return;
   }
+  // This router stood still, or the version has returned: others may have
+  // forgotten it.
+  if (Known != Seen.end())
+    Seen.erase(Known);
   Seen.emplace(Software, Version{.FirstSeenAt_ = Now,
                                  .LastSeenAt_ = Now,
                                  .Rank_ = nextRank(Seen, Now)});
